--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,7 @@
+// Package caller speaks to the callers of the system: it holds the types of a
+// job and its answer, the submission keys, the book in which an entry instance
+// records what became of each key, and the HTTP protocol.
+//
+// Keys, Key and Book decide without a clock, a goroutine or a socket; Handler
+// and Client carry their decisions over HTTP.
+package caller
--- /dev/null
+++ b/caller/key.go
@@ -0,0 +1,4 @@
+package caller
+
+// A Key identifies a submission. Its text form is opaque to callers.
+type Key string
--- /dev/null
+++ b/operator/tables.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Tables is one whole configuration: the routes and the pools, joined by the
+// pool's name. Published Tables are never changed.
+type Tables struct {
+	// Routes holds the kinds of request, sorted by name.
+	Routes []Route
+	// Pools holds the groups of backend servers, sorted by name.
+	Pools []Pool
+}
+
+// A Route is a kind of request and where it belongs.
+type Route struct {
+	// Name identifies the route.
+	Name string
+	// Pool names the pool whose backend servers run the route's tasks.
+	Pool string
+	// Urgency orders routes within their guaranteed shares; a larger number
+	// is more urgent. It is in [0, 100].
+	Urgency int
+	// Share is the weight of the route's guaranteed part of its pool under
+	// contention. It is in [1, 1000].
+	Share int
+	// Idempotent says that running a task twice does no harm. A task is
+	// nevertheless never started twice under one key.
+	Idempotent bool
+	// Timeout bounds a job's time from its arrival to its answer.
+	Timeout time.Duration
+	// Cores is the declared number of cores that a task uses.
+	Cores float64
+	// MemoryMiB is the declared memory that a task uses, in MiB.
+	MemoryMiB int
+}
+
+// A Pool is a group of backend servers.
+type Pool struct {
+	// Name identifies the pool.
+	Name string
+	// Servers holds the backend servers, sorted by address.
+	Servers []Server
+}
+
+// A Server is a backend server and what it can take.
+type Server struct {
+	// Address is where the server takes tasks.
+	Address netip.AddrPort
+	// Zone names the server's availability zone.
+	Zone string
+	// Rack names the server's rack.
+	Rack string
+	// Slots is the number of tasks that the server runs at once.
+	Slots int
+	// Connections is the number of connections that the server accepts.
+	Connections int
+	// Cores is the number of the server's processor cores.
+	Cores int
+	// MemoryMiB is the server's memory in MiB.
+	MemoryMiB int
+}
+
+// Route returns the route named name and whether there is one.
+func (t *Tables) Route(name string) (Route, bool) {
+	for _, r := range t.Routes {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Pool returns the pool named name and whether there is one.
+func (t *Tables) Pool(name string) (Pool, bool) {
+	for _, p := range t.Pools {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
