--- /dev/null
+++ b/cmd/amaranthwell-load/balancer.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// The balancer's health checks.
+const (
+	healthInterval = 500 * time.Millisecond
+	healthTimeout  = 500 * time.Millisecond
+)
+
+// A balancer chooses an entry instance at random among those that are ready,
+// as the platform's balancer does.
+type balancer struct {
+	entries []entryInstance
+	client  *http.Client
+
+	mu    sync.Mutex
+	rand  *rand.Rand
+	ready []bool
+}
+
+// newBalancer returns a balancer that checks the entry instances until ctx ends.
+func newBalancer(ctx context.Context, entries []entryInstance, r *rand.Rand) *balancer {
+	b := &balancer{
+		entries: entries,
+		client:  &http.Client{Timeout: healthTimeout},
+		rand:    r,
+		ready:   make([]bool, len(entries)),
+	}
+	for i := range entries {
+		b.ready[i] = true
+		go func() {
+			ticker := time.NewTicker(healthInterval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+					b.check(ctx, i)
+				}
+			}
+		}()
+	}
+	return b
+}
+
+func (b *balancer) check(ctx context.Context, i int) {
+	ok := isReady(ctx, b.client, b.entries[i].operator)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready[i] = ok
+}
+
+// isReady reports whether the entry instance whose operators' port is addr
+// says that it is ready.
+func isReady(ctx context.Context, client *http.Client, addr netip.AddrPort) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// choose returns the index of an entry instance that is ready, or of any if
+// none is.
+func (b *balancer) choose() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	chosen, seen := b.rand.IntN(len(b.entries)), 0
+	for i, ok := range b.ready {
+		if !ok {
+			continue
+		}
+		seen++
+		if b.rand.IntN(seen) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
+// markDown leaves an entry instance out until its next health check.
+func (b *balancer) markDown(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready[i] = false
+}
--- /dev/null
+++ b/cmd/amaranthwell-load/keys.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Keys are fetched ahead in batches. They are dropped when they are old, so
+// that few are held from an instance that has ended.
+const (
+	keyBatch  = 64
+	keyMaxAge = time.Second
+)
+
+// A keySource holds submission keys from one entry instance.
+type keySource struct {
+	client *http.Client
+	entry  netip.AddrPort
+
+	mu      sync.Mutex
+	keys    []string
+	fetched time.Time
+}
+
+// take returns a key, and asks the entry instance for more if none is left.
+func (s *keySource) take(ctx context.Context) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.keys) == 0 || time.Since(s.fetched) > keyMaxAge {
+		keys, err := fetchKeys(ctx, s.client, s.entry, keyBatch)
+		if err != nil {
+			return "", err
+		}
+		s.keys = keys
+		s.fetched = time.Now()
+	}
+	key := s.keys[0]
+	s.keys = s.keys[1:]
+	return key, nil
+}
+
+func fetchKeys(ctx context.Context, client *http.Client, entry netip.AddrPort, count int) ([]string, error) {
+	url := fmt.Sprintf("http://%s/v1/keys?count=%d", entry, count)
+	ctx, cancel := context.WithTimeout(ctx, keyMaxAge)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Keys []string `json:"keys"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil, errors.Wrapf(err, "reading keys of %s (status %d)", entry, resp.StatusCode)
+	}
+	if len(body.Keys) == 0 {
+		return nil, errors.Newf("%s gave no keys (status %d)", entry, resp.StatusCode)
+	}
+	return body.Keys, nil
+}
--- /dev/null
+++ b/cmd/amaranthwell-load/list.go
@@ -0,0 +1,14 @@
+package main
+
+import "fmt"
+
+// scenariosCommand lists the scenarios.
+type scenariosCommand struct{}
+
+// Execute runs the command.
+func (*scenariosCommand) Execute([]string) error {
+	for _, s := range scenarios(newSapica(0)) {
+		fmt.Printf("%-22s %s\n", s.name, s.description)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/amaranthwell-load/main.go
@@ -0,0 +1,36 @@
+// Command amaranthwell-load puts load on entry instances and measures them: it
+// starts stand-ins of the platform and of the workers, entry instances of the
+// product or of the naive version, runs a scenario and prints the results.
+//
+//	amaranthwell-load run --scenario steady --version product --version naive
+//	amaranthwell-load table RESULTS.toml...
+//	amaranthwell-load naive --settings FILE
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	parser := flags.NewNamedParser("amaranthwell-load", flags.Default)
+	addCommand(parser, "run", "run scenarios and print their results", &runCommand{})
+	addCommand(parser, "table", "print results as Markdown tables", &tableCommand{})
+	addCommand(parser, "naive", "run one entry instance of the naive version", &naiveCommand{})
+	addCommand(parser, "scenarios", "list the scenarios", &scenariosCommand{})
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+}
+
+func addCommand(parser *flags.Parser, name, description string, data any) {
+	if _, err := parser.AddCommand(name, description, "", data); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/cmd/amaranthwell-load/platform.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// controlTimeout bounds one request to a stand-in or an operators' port.
+const controlTimeout = 10 * time.Second
+
+// A platform speaks to the stand-ins of the platform and of the workers.
+type platform struct {
+	client *http.Client
+	host   netip.Addr
+}
+
+func newPlatform(host netip.Addr) *platform {
+	return &platform{client: &http.Client{Timeout: controlTimeout}, host: host}
+}
+
+func (p *platform) logAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, logPort) }
+
+func (p *platform) instancesAddress() netip.AddrPort {
+	return netip.AddrPortFrom(p.host, instancesPort)
+}
+
+func (p *platform) controlAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, controlPort) }
+
+// list puts an instance on the platform's list.
+func (p *platform) list(ctx context.Context, addr netip.AddrPort, kind, zone string, leaving bool) error {
+	url := "http://" + p.instancesAddress().String() + "/v1/instances/" + addr.String()
+	return p.send(ctx, http.MethodPut, url, struct {
+		Kind    string `json:"kind"`
+		Zone    string `json:"zone"`
+		Leaving bool   `json:"leaving"`
+	}{kind, zone, leaving})
+}
+
+// unlist takes an instance off the platform's list.
+func (p *platform) unlist(ctx context.Context, addr netip.AddrPort) error {
+	url := "http://" + p.instancesAddress().String() + "/v1/instances/" + addr.String()
+	return p.send(ctx, http.MethodDelete, url, nil)
+}
+
+// A fault is what a backend server is told to do wrong.
+type fault struct {
+	FailAll    bool    `json:"fail-all"`
+	SlowFactor float64 `json:"slow-factor,omitempty"`
+	Vanish     bool    `json:"vanish"`
+	Leaving    bool    `json:"leaving"`
+}
+
+// setFault replaces the faults of the backend server at addr.
+func (p *platform) setFault(ctx context.Context, addr netip.AddrPort, f fault) error {
+	url := "http://" + p.controlAddress().String() + "/v1/faults?server=" + addr.String()
+	return p.send(ctx, http.MethodPut, url, f)
+}
+
+// starts is what the worker stand-ins saw.
+type starts struct {
+	Started      int              `json:"started"`
+	Finished     int              `json:"finished"`
+	StartedTwice int              `json:"started-twice"`
+	MaxRunning   int              `json:"max-running"`
+	MaxWaiting   int              `json:"max-waiting"`
+	ByKey        map[string][]int `json:"by-key"`
+}
+
+// readStarts asks the worker stand-ins what they saw, with the starts of each
+// key if keys is true.
+func (p *platform) readStarts(ctx context.Context, keys bool) (starts, error) {
+	url := "http://" + p.controlAddress().String() + "/v1/starts"
+	if keys {
+		url += "?keys=1"
+	}
+	body, err := get(ctx, p.client, url)
+	if err != nil {
+		return starts{}, err
+	}
+	var s starts
+	return s, json.Unmarshal(body, &s)
+}
+
+func (p *platform) send(ctx context.Context, method, url string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		message, _ := io.ReadAll(resp.Body)
+		return errors.Newf("%s %s: status %d: %s", method, url, resp.StatusCode, message)
+	}
+	return nil
+}
+
+func get(ctx context.Context, client *http.Client, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("GET %s: status %d", url, resp.StatusCode)
+	}
+	return io.ReadAll(resp.Body)
+}
--- /dev/null
+++ b/cmd/amaranthwell-load/submit.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// answerMargin is how much longer than the job's timeout a client waits for
+// its answer.
+const answerMargin = 2 * time.Second
+
+// An answer is the reply to one submission.
+type answer struct {
+	Key        string   `json:"key"`
+	Status     string   `json:"status"`
+	Reason     string   `json:"reason"`
+	RetryAfter string   `json:"retry-after"`
+	Results    [][]byte `json:"results"`
+}
+
+// The statuses of an answer.
+const (
+	statusComplete = "complete"
+	statusFailed   = "failed"
+	statusNotRun   = "not-run"
+	statusUnknown  = "unknown"
+)
+
+// submit sends a job to the entry instance at addr and waits for its answer.
+func submit(ctx context.Context, client *http.Client, addr netip.AddrPort, key string, j job, timeout time.Duration) (answer, error) {
+	body, err := json.Marshal(struct {
+		Key     string   `json:"key"`
+		Route   string   `json:"route"`
+		Timeout string   `json:"timeout"`
+		Tasks   [][]byte `json:"tasks"`
+	}{key, j.route, timeout.Round(time.Millisecond).String(), j.payloads()})
+	if err != nil {
+		return answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}, err
+	}
+	var a answer
+	if err := json.Unmarshal(text, &a); err != nil {
+		return answer{}, errors.Wrapf(err, "reading the answer of %s (status %d)", addr, resp.StatusCode)
+	}
+	return a, nil
+}
+
+// cancelJob asks the entry instance at addr to cancel a job.
+func cancelJob(ctx context.Context, client *http.Client, addr netip.AddrPort, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, answerMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr.String()+"/v1/jobs/"+key, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// isRefused reports whether err proves that the entry instance never saw the
+// request.
+func isRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
