--- /dev/null
+++ b/cmd/amaranthwell/entry.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
+	"github.com/amaranthwell/amaranthwell/platform"
+)
+
+// Times of the daemon.
+const (
+	listEvery = time.Second
+	// drainPoll is the time between looks at whether a shutdown is done.
+	drainPoll = 20 * time.Millisecond
+	// maxDrain bounds a graceful shutdown.
+	maxDrain = 5 * time.Minute
+	// closeTimeout bounds the end of the HTTP ports and links.
+	closeTimeout = 2 * time.Second
+)
+
+// entryCommand runs an entry instance.
+type entryCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings file, in TOML"`
+}
+
+// Execute runs the entry instance until SIGTERM or SIGINT.
+func (c *entryCommand) Execute([]string) error {
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	settings, err := operator.ParseSettings(operator.File{Name: c.Settings, Body: text})
+	if err != nil {
+		return err
+	}
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)),
+		"time", log.DefaultTimestampUTC, "instance", settings.PeerAddress)
+	d, err := newDaemon(settings, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.run(ctx)
+}
+
+// A daemon is an entry instance with its ports and its links.
+type daemon struct {
+	settings *operator.Settings
+	logger   log.Logger
+	instance *entry.Instance
+	control  *control
+	follower *follower
+	list     *platform.ListClient
+	backends *backend.Client
+	current  atomic.Pointer[operator.Current]
+	ready    atomic.Bool
+	metrics  *metrics.Set
+}
+
+func newDaemon(settings *operator.Settings, logger log.Logger) (*daemon, error) {
+	d := &daemon{settings: settings, logger: logger, metrics: metrics.NewSet()}
+	var err error
+	if d.instance, err = newInstance(settings); err != nil {
+		return nil, err
+	}
+	if d.list, err = platform.NewListClient(platform.ListConfig{URL: settings.Instances.String()}); err != nil {
+		return nil, err
+	}
+	if d.backends, err = backend.NewClient(backend.ClientConfig{}); err != nil {
+		return nil, err
+	}
+	republisher, err := operator.NewRepublisher(operator.RepublisherConfig{
+		Retention: settings.LogRetention,
+		Rand:      newRandom(),
+	}, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	d.current.Store(&operator.Current{})
+	d.follower = &follower{
+		log:         newLog(settings.Log.String()),
+		logger:      logger,
+		reader:      operator.NewReader(),
+		republisher: republisher,
+		snapshots:   make(chan []byte, 16),
+		apply:       func(e event) { d.control.do(e) },
+		current:     func(c operator.Current) { d.current.Store(&c) },
+	}
+	return d, nil
+}
+
+// newInstance returns the control state of a process that begins.
+func newInstance(settings *operator.Settings) (*entry.Instance, error) {
+	var secret [32]byte
+	if _, err := crand.Read(secret[:]); err != nil {
+		return nil, err
+	}
+	random := newRandom()
+	return entry.New(entry.Config{
+		Self:        settings.PeerAddress,
+		Zone:        settings.Zone,
+		Incarnation: random.Uint64() | 1,
+		Start:       time.Now(),
+		Secret:      secret,
+		Random:      random,
+	})
+}
+
+// newRandom returns a source of random numbers with a seed of its own.
+func newRandom() *rand.Rand {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		panic(err)
+	}
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// run serves until ctx ends, and then ends what has begun.
+func (d *daemon) run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	peers, err := listen(d.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	callers, err := listen(d.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(d.settings.OperatorAddress)
+	if err != nil {
+		return err
+	}
+	d.control = newControl(serving, d.instance, d.backends, d.offerSnapshot)
+	d.registerMetrics()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return ended(peer.Listen(serving, peers, d.control)) })
+	group.Go(func() error { d.follower.run(serving); return nil })
+	group.Go(func() error { d.followList(serving); return nil })
+	callerServer := caller.NewServer(caller.ServerConfig{Submitter: d.control})
+	serveHTTP(group, callerServer, callers)
+	serveHTTP(group, &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: closeTimeout}, operators)
+	_ = d.logger.Log("event", "started", "zone", d.settings.Zone)
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return group.Wait()
+	}
+	d.drain(callerServer)
+	stop()
+	return nil
+}
+
+// drain ends what the instance has begun, and interrupts nothing.
+func (d *daemon) drain(callers *http.Server) {
+	_ = d.logger.Log("event", "leaving")
+	d.ready.Store(false)
+	d.control.ask(func(now time.Time, i *entry.Instance) { i.Leave(now) })
+	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
+	defer cancel()
+	for ctx.Err() == nil {
+		drained := false
+		d.control.ask(func(now time.Time, i *entry.Instance) { drained = i.Drained(now) })
+		if drained {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	_ = callers.Shutdown(ctx)
+	d.control.closeLinks(closeTimeout)
+	_ = d.logger.Log("event", "ended")
+}
+
+// followList gives the platform's list to the instance, again and again.
+func (d *daemon) followList(ctx context.Context) {
+	ticker := time.NewTicker(listEvery)
+	defer ticker.Stop()
+	for {
+		list, err := d.list.List(ctx)
+		if err == nil {
+			d.control.do(func(now time.Time, i *entry.Instance) {
+				i.SetList(now, list)
+				d.ready.Store(i.Ready())
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *daemon) offerSnapshot(snapshot []byte) {
+	select {
+	case d.follower.snapshots <- snapshot:
+	default:
+	}
+}
+
+func (d *daemon) operatorHandler() http.Handler {
+	return operator.NewHandler(operator.HandlerConfig{Instance: d, Metrics: d.metrics})
+}
+
+// Ready returns nil if the instance takes jobs from callers.
+func (d *daemon) Ready() error {
+	if !d.ready.Load() {
+		return errors.New("the instance has no configuration or is leaving")
+	}
+	return nil
+}
+
+// Current returns the configuration in force.
+func (d *daemon) Current() operator.Current { return *d.current.Load() }
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", addr.String())
+}
+
+func serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
+	group.Go(func() error { return ended(server.Serve(listener)) })
+}
+
+// ended turns the errors of an orderly end into nil.
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/entry/admission.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// Constants of admission.
+const (
+	// queueTimeShare is the part of a job's timeout that it may be expected
+	// to wait for.
+	queueTimeShare = 0.5
+	// minRetryAfter and maxRetryAfter bound the time after which a refused
+	// caller is asked to come again.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+	// drainWindow is the time over which a queue's rate is averaged.
+	drainWindow = 2 * time.Second
+)
+
+// admit begins a new submission or refuses it. No task of it has left the
+// instance, so that a refusal proves that it has not run.
+func (i *Instance) admit(now time.Time, in caller.Job) {
+	route, reason, message := i.routeOf(in)
+	if reason != "" {
+		i.refuse(now, in.Key, caller.Answer{Reason: reason, Message: message})
+		return
+	}
+	timeout := in.Timeout
+	if timeout <= 0 || timeout > route.Timeout {
+		timeout = route.Timeout
+	}
+	wait := i.expectedWait(route, len(in.Tasks))
+	if wait > time.Duration(queueTimeShare*float64(timeout)) || i.waitingTasks() > i.cfg.MaxWaiting {
+		i.counts.Overloaded++
+		i.refuse(now, in.Key, caller.Answer{
+			Reason:     caller.ReasonOverload,
+			Message:    "the answer would come after the job's timeout",
+			RetryAfter: i.retryAfter(wait),
+		})
+		return
+	}
+	i.begin(now, in, route, timeout)
+}
+
+// routeOf returns the route of a job, or why the job can never run.
+func (i *Instance) routeOf(in caller.Job) (operator.Route, caller.Reason, string) {
+	if i.tables == nil {
+		return operator.Route{}, caller.ReasonStarting, "the instance has no configuration yet"
+	}
+	route, ok := i.tables.Route(in.Route)
+	if !ok {
+		return route, caller.ReasonRoute, "no route is named " + in.Route
+	}
+	pool, ok := i.tables.Pool(route.Pool)
+	if !ok || !fits(route, pool) {
+		return route, caller.ReasonImpossible, "no backend server of pool " + route.Pool + " is large enough"
+	}
+	return route, "", ""
+}
+
+// fits reports whether some backend server of pool can ever run a task of route.
+func fits(route operator.Route, pool operator.Pool) bool {
+	for _, s := range pool.Servers {
+		if s.Slots > 0 && route.Cores <= float64(s.Cores) && route.MemoryMiB <= s.MemoryMiB {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers a submission that has not run and never will.
+func (i *Instance) refuse(now time.Time, key caller.Key, a caller.Answer) {
+	a.Key = key
+	a.Status = caller.NotRun
+	for _, w := range i.book.Finish(now, key, a) {
+		i.answer(w, a)
+	}
+}
+
+// expectedWait returns how long the last of n new tasks of route is expected to
+// wait here, by the rate at which the route's queue has been draining. It is
+// zero while nothing waits.
+func (i *Instance) expectedWait(route operator.Route, n int) time.Duration {
+	q := i.queues[route.Name]
+	if q == nil {
+		return 0
+	}
+	rate := q.drain.perSecond()
+	if q.waiting == 0 || rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(q.waiting+n) / rate * float64(time.Second))
+}
+
+// waitingTasks returns the number of owned tasks that no holder has.
+func (i *Instance) waitingTasks() int {
+	total := 0
+	for _, q := range i.queues {
+		total += q.waiting
+	}
+	return total
+}
+
+// retryAfter draws the time after which a refused caller may come again, so
+// that callers refused together do not come back together.
+func (i *Instance) retryAfter(wait time.Duration) time.Duration {
+	base := min(max(wait/2, minRetryAfter), maxRetryAfter/2)
+	return base + time.Duration(i.cfg.Random.Int64N(int64(base)))
+}
+
+// A drain measures how fast a queue empties while something waits in it.
+type drain struct {
+	last    time.Time
+	backlog bool
+	sent    float64
+	elapsed float64
+}
+
+// observe counts tasks that left the queue until now. Backlog says that tasks
+// still wait.
+func (d *drain) observe(now time.Time, sent int, backlog bool) {
+	if d.backlog {
+		dt := now.Sub(d.last).Seconds()
+		keep := max(0, 1-dt/drainWindow.Seconds())
+		d.sent = d.sent*keep + float64(sent)
+		d.elapsed = d.elapsed*keep + dt
+	}
+	d.last, d.backlog = now, backlog
+}
+
+// perSecond returns the rate in tasks a second, or 0 while too little is known.
+func (d *drain) perSecond() float64 {
+	const known = 0.2 // seconds of backlog
+	if d.elapsed < known {
+		return 0
+	}
+	return d.sent / d.elapsed
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+)
+
+// Config configures an Instance.
+type Config struct {
+	// Self is the instance's address for its peers.
+	Self netip.AddrPort
+	// Zone names the instance's availability zone.
+	Zone string
+	// Incarnation tells the process from its predecessors at Self. It is
+	// not zero.
+	Incarnation uint64
+	// Start is the time from which the submission keys count their time of
+	// issue.
+	Start time.Time
+	// Secret authenticates the submission keys that the instance issues.
+	Secret [32]byte
+	// UseWithin is the time in which a key may first be used.
+	UseWithin time.Duration
+	// Book bounds the record of submissions.
+	Book caller.BookConfig
+	// HoldDown is the longest time that a new holder of a backend server
+	// waits for the former one to let go of it.
+	HoldDown time.Duration
+	// MaxWaiting is the largest number of tasks that wait at the instance
+	// as their owner.
+	MaxWaiting int
+	// Random draws holders, servers and retry times.
+	Random *rand.Rand
+}
+
+// Defaults of Config.
+const (
+	DefaultUseWithin  = 30 * time.Second
+	DefaultKeepFor    = 5 * time.Minute
+	DefaultHoldDown   = 2 * time.Second
+	DefaultMaxWaiting = 200_000
+
+	defaultMaxRecords     = 200_000
+	defaultMaxAnswerBytes = 16 << 20
+)
+
+func (c *Config) setDefaults() {
+	if c.UseWithin == 0 {
+		c.UseWithin = DefaultUseWithin
+	}
+	c.Book.Start = c.Start
+	if c.Book.UseWithin == 0 {
+		c.Book.UseWithin = c.UseWithin
+	}
+	if c.Book.KeepFor == 0 {
+		c.Book.KeepFor = DefaultKeepFor
+	}
+	if c.Book.MaxRecords == 0 {
+		c.Book.MaxRecords = defaultMaxRecords
+	}
+	if c.Book.MaxAnswerBytes == 0 {
+		c.Book.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	if c.HoldDown == 0 {
+		c.HoldDown = DefaultHoldDown
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = DefaultMaxWaiting
+	}
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// A queue holds the jobs of one route with tasks to be given out, by arrival.
+type queue struct {
+	route   string
+	urgency int
+	jobs    []*job
+	// waiting is the number of the jobs' tasks that no holder has.
+	waiting int
+	drain   drain
+}
+
+// enqueue puts a job into its route's queue.
+func (i *Instance) enqueue(j *job) {
+	if j.queued {
+		return
+	}
+	j.queued = true
+	q := i.queue(j.route)
+	q.waiting += j.waiting()
+	at, _ := slices.BinarySearchFunc(q.jobs, j, func(a, b *job) int {
+		if c := a.arrived.Compare(b.arrived); c != 0 {
+			return c
+		}
+		return compareKeys(a.key, b.key)
+	})
+	q.jobs = slices.Insert(q.jobs, at, j)
+}
+
+// dequeue takes a job out of its route's queue.
+func (i *Instance) dequeue(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	q := i.queues[j.route.Name]
+	q.waiting -= j.waiting()
+	if at := slices.Index(q.jobs, j); at >= 0 {
+		q.jobs = slices.Delete(q.jobs, at, at+1)
+	}
+}
+
+// queue returns the queue of a route.
+func (i *Instance) queue(route operator.Route) *queue {
+	q := i.queues[route.Name]
+	if q == nil {
+		q = &queue{route: route.Name, urgency: route.Urgency}
+		i.queues[route.Name] = q
+		i.order = append(i.order, route.Name)
+		slices.SortFunc(i.order, func(a, b string) int {
+			if c := cmp.Compare(i.queues[b].urgency, i.queues[a].urgency); c != 0 {
+				return c
+			}
+			return cmp.Compare(a, b)
+		})
+	}
+	return q
+}
+
+// dispatch gives waiting tasks to holders that have room, the most urgent route
+// first. What each route gets is the holders' to decide.
+func (i *Instance) dispatch(now time.Time) {
+	for _, p := range i.pools {
+		p.spread.Report(i.cfg.Self, p.report(), 0)
+	}
+	for _, name := range i.order {
+		i.dispatchRoute(now, i.queues[name])
+	}
+}
+
+// dispatchRoute gives out the tasks of one route, the oldest job's first.
+func (i *Instance) dispatchRoute(now time.Time, q *queue) {
+	sent := 0
+	kept := q.jobs[:0]
+	for at, j := range q.jobs {
+		n, full := i.dispatchJob(now, j)
+		sent += n
+		q.waiting -= n
+		if j.waiting() == 0 {
+			j.queued = false
+			continue
+		}
+		kept = append(kept, j)
+		if full {
+			kept = append(kept, q.jobs[at+1:]...)
+			break
+		}
+	}
+	clear(q.jobs[len(kept):])
+	q.jobs = kept
+	q.drain.observe(now, sent, len(kept) > 0)
+}
+
+// dispatchJob gives out the tasks of one job. It returns their number, and
+// whether no holder has room for more of the job's route.
+func (i *Instance) dispatchJob(now time.Time, j *job) (sent int, full bool) {
+	p := i.pools[j.route.Pool]
+	if p == nil || now.Before(j.notBefore) {
+		return 0, p == nil
+	}
+	for j.waiting() > 0 {
+		addr, ok := p.spread.Pick(j.route.Name, i.members.Live)
+		if !ok {
+			return sent, true
+		}
+		i.give(now, p, j, j.take(), addr)
+		sent++
+	}
+	return sent, false
+}
+
+// give hands a task to the holder at addr.
+func (i *Instance) give(now time.Time, p *pool, j *job, index int, addr netip.AddrPort) {
+	t := &j.tasks[index]
+	t.state = taskGiven
+	t.attempt++
+	t.holder = addr
+	j.given++
+	j.holders[addr] = true
+	if addr == i.cfg.Self {
+		p.spread.Given(addr, j.route.Name, 0)
+		i.hold(now, addr, j.key, j.route.Name, j.deadline, taskMessage(j, index))
+		return
+	}
+	p.spread.Given(addr, j.route.Name, i.members.NextSequence(addr))
+	i.sendRun(now, j, index)
+}
+
+// sendRun puts a task into the next envelope to its holder.
+func (i *Instance) sendRun(now time.Time, j *job, index int) {
+	box := i.outbox(j.tasks[index].holder)
+	box.urgent = true
+	task := taskMessage(j, index)
+	key := keyBytes(j.key)
+	if n := len(box.env.Runs); n > 0 && string(box.env.Runs[n-1].Key) == string(key) {
+		box.env.Runs[n-1].Tasks = append(box.env.Runs[n-1].Tasks, task)
+		return
+	}
+	box.env.Runs = append(box.env.Runs, &peer.Run{
+		Key:          key,
+		Route:        j.route.Name,
+		TimeoutNanos: int64(j.deadline.Sub(now)),
+		Tasks:        []*peer.Task{task},
+	})
+}
+
+func taskMessage(j *job, index int) *peer.Task {
+	return &peer.Task{
+		Index:   uint32(index),
+		Attempt: j.tasks[index].attempt,
+		Payload: j.payloads[index],
+	}
+}
--- /dev/null
+++ b/entry/outbox.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// An outbox gathers what the next envelope to a peer carries.
+type outbox struct {
+	env *peer.Envelope
+	// urgent says that the envelope is not to wait for the next heartbeat.
+	urgent bool
+	// settled holds the keys that the peer may forget, until it has
+	// acknowledged the envelope that said so.
+	settled []settledKey
+}
+
+// A settledKey is a key that a peer was told to forget in the envelope of the
+// given sequence.
+type settledKey struct {
+	key      caller.Key
+	sequence uint64
+}
+
+// outbox returns the outbox for the peer at addr.
+func (i *Instance) outbox(addr netip.AddrPort) *outbox {
+	box := i.outboxes[addr]
+	if box == nil {
+		box = &outbox{env: &peer.Envelope{}}
+		i.outboxes[addr] = box
+	}
+	return box
+}
+
+// settle tells a holder, with the next envelope, that it may forget a job.
+func (i *Instance) settle(addr netip.AddrPort, key caller.Key) {
+	box := i.outbox(addr)
+	box.env.Cancels = append(box.env.Cancels, &peer.Cancel{Key: keyBytes(key), Settled: true})
+	box.settled = append(box.settled, settledKey{key: key, sequence: i.members.NextSequence(addr)})
+}
+
+// acknowledged forgets the settled keys that the peer has been told of.
+func (box *outbox) acknowledged(sequence uint64) {
+	box.settled = slices.DeleteFunc(box.settled, func(s settledKey) bool { return s.sequence <= sequence })
+}
+
+// flush makes envelopes of the outboxes that are urgent or due.
+func (i *Instance) flush(now time.Time) {
+	for _, addr := range i.members.HeartbeatsDue(now) {
+		i.outbox(addr).urgent = true
+	}
+	addrs := make([]netip.AddrPort, 0, len(i.outboxes))
+	for addr, box := range i.outboxes {
+		if box.urgent {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	for _, addr := range addrs {
+		i.send(now, addr)
+	}
+}
+
+// send makes an envelope of what the outbox for addr holds.
+func (i *Instance) send(now time.Time, addr netip.AddrPort) {
+	box := i.outboxes[addr]
+	env := box.env
+	box.env, box.urgent = &peer.Envelope{}, false
+	i.members.Stamp(now, addr, env)
+	env.ConfigurationOffset = i.offset
+	env.Load = i.load()
+	i.counts.EnvelopesSent++
+	if len(env.Submits)+len(env.Answers)+len(env.Runs)+len(env.Results) == 0 {
+		i.counts.EnvelopesWasted++
+	}
+	i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: env})
+}
+
+// keyBytes is the form of a key in messages.
+func keyBytes(key caller.Key) []byte {
+	b, err := key.AppendBinary(nil)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/peer/spread.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+)
+
+// SpreadConfig configures a Spread.
+type SpreadConfig struct {
+	// QueueShare is the largest number of waiting tasks of one route at one
+	// holder, as a share of the holder's slots, that an owner adds to.
+	QueueShare float64
+	// Random draws between holders.
+	Random *rand.Rand
+}
+
+// Limits of a Spread.
+const (
+	// DefaultQueueShare is SpreadConfig's QueueShare where none is given.
+	DefaultQueueShare = 0.25
+	// minQueue is the number of waiting tasks that a holder may always have.
+	minQueue = 2
+)
+
+// A Spread decides to which holder an owner gives the next task of one pool.
+//
+// It knows of each holder what the holder last reported and what was given to
+// it since. Tasks go to idle slots while there are any; then a few wait at
+// each holder, so that a slot that falls idle finds its next task there, and
+// the rest waits at the owner, to be given where room shows first.
+//
+// A Spread is not safe for concurrent use.
+type Spread struct {
+	cfg     SpreadConfig
+	holders []*holderView
+}
+
+// A holderView is what an owner knows of one holder.
+type holderView struct {
+	address netip.AddrPort
+	slots   int
+	free    int
+	queued  map[string]int
+	given   []given
+	// givenTotal and givenRoute sum up the given tasks.
+	givenTotal int
+	givenRoute map[string]int
+}
+
+// given counts tasks that a holder's report does not show yet.
+type given struct {
+	sequence uint64
+	route    string
+	count    int
+}
+
+// NewSpread returns a Spread that knows of no holder.
+func NewSpread(cfg SpreadConfig) *Spread {
+	if cfg.QueueShare == 0 {
+		cfg.QueueShare = DefaultQueueShare
+	}
+	return &Spread{cfg: cfg}
+}
+
+// Report takes a holder's report. The tasks that were given in envelopes up to
+// the sequence received are in it.
+func (s *Spread) Report(holder netip.AddrPort, load *PoolLoad, received uint64) {
+	v := s.view(holder)
+	if v == nil {
+		v = &holderView{
+			address:    holder,
+			queued:     make(map[string]int),
+			givenRoute: make(map[string]int),
+		}
+		s.holders = append(s.holders, v)
+		slices.SortFunc(s.holders, func(a, b *holderView) int { return a.address.Compare(b.address) })
+	}
+	v.slots = int(load.Slots)
+	v.free = int(load.Free)
+	clear(v.queued)
+	for _, r := range load.Routes {
+		v.queued[r.Route] = int(r.Queued)
+	}
+	v.drop(received)
+}
+
+// drop forgets what was given in envelopes up to the sequence received.
+func (v *holderView) drop(received uint64) {
+	kept := v.given[:0]
+	for _, g := range v.given {
+		if g.sequence > received {
+			kept = append(kept, g)
+			continue
+		}
+		v.givenTotal -= g.count
+		v.givenRoute[g.route] -= g.count
+	}
+	v.given = kept
+}
+
+// Given counts one task that was given to a holder in the envelope of the
+// given sequence.
+func (s *Spread) Given(holder netip.AddrPort, route string, sequence uint64) {
+	v := s.view(holder)
+	if v == nil {
+		return
+	}
+	v.givenTotal++
+	v.givenRoute[route]++
+	if n := len(v.given); n > 0 && v.given[n-1].sequence == sequence && v.given[n-1].route == route {
+		v.given[n-1].count++
+		return
+	}
+	v.given = append(v.given, given{sequence: sequence, route: route, count: 1})
+}
+
+// Forget drops all that is known of a holder.
+func (s *Spread) Forget(holder netip.AddrPort) {
+	s.holders = slices.DeleteFunc(s.holders, func(v *holderView) bool { return v.address == holder })
+}
+
+// Slots returns the number of slots that the known holders have reported.
+func (s *Spread) Slots() int {
+	total := 0
+	for _, v := range s.holders {
+		total += v.slots
+	}
+	return total
+}
+
+// Pick returns the holder that the next task of route is to be given to, of
+// those that usable admits. It returns false if none has room.
+func (s *Spread) Pick(route string, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	if v := s.pickIdle(usable); v != nil {
+		return v.address, true
+	}
+	if v := s.pickQueue(route, usable); v != nil {
+		return v.address, true
+	}
+	return netip.AddrPort{}, false
+}
+
+// pickIdle draws a holder with idle slots, each slot with the same chance.
+func (s *Spread) pickIdle(usable func(netip.AddrPort) bool) *holderView {
+	total := 0
+	for _, v := range s.holders {
+		if room := v.free - v.givenTotal; room > 0 && usable(v.address) {
+			total += room
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	draw := s.cfg.Random.IntN(total)
+	for _, v := range s.holders {
+		room := v.free - v.givenTotal
+		if room <= 0 || !usable(v.address) {
+			continue
+		}
+		if draw < room {
+			return v
+		}
+		draw -= room
+	}
+	return nil
+}
+
+// pickQueue returns the holder with the shortest queue of route for its slots,
+// if that queue is short enough to add to.
+func (s *Spread) pickQueue(route string, usable func(netip.AddrPort) bool) *holderView {
+	var best *holderView
+	var least float64
+	for _, v := range s.holders {
+		if v.slots == 0 || !usable(v.address) {
+			continue
+		}
+		queued := v.queued[route] + v.givenRoute[route]
+		if queued >= max(minQueue, int(s.cfg.QueueShare*float64(v.slots))) {
+			continue
+		}
+		relative := float64(queued) / float64(v.slots)
+		if best == nil || relative < least {
+			best, least = v, relative
+		}
+	}
+	return best
+}
+
+// view returns what is known of holder, or nil.
+func (s *Spread) view(holder netip.AddrPort) *holderView {
+	for _, v := range s.holders {
+		if v.address == holder {
+			return v
+		}
+	}
+	return nil
+}
