caller: issue keys and record what became of each

Cause: a submission has to start at most once although callers repeat it, and "not run" has to stay true for good, in bounded memory.

Ruled out: a record for each refusal, which a flood would fill the book with; Issued as 32 bits of ms, which wraps after 49 days and makes old keys young; KeepFor below UseWithin, which needs a second order of expiry (a ConfigError). A repeat with another job is answered unknown/key-reused: it claims nothing about the first job.

Change: Key, Keys, Book. A refusal for overload, by the Book or by Finish, takes a bit in blocks of 512 serials that expire with UseWithin. The blocks are bounded by MaxRecords; past that the oldest one is given up by refusing all serials up to its end, so no refusal is ever taken back.

--- /dev/null
+++ b/caller/book_property_test.go
@@ -0,0 +1,254 @@
+package caller_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+	"pgregory.net/rapid"
+)
+
+// naiveRecord is what the naive, unbounded book knows of one key.
+type naiveRecord struct {
+	key      caller.Key
+	accepted *caller.Job
+	answer   *caller.Answer
+	endedAt  time.Time
+	notRun   bool
+	waiting  []int
+}
+
+// bookMachine runs a Book against an unbounded map.
+type bookMachine struct {
+	cfg  caller.BookConfig
+	book *caller.Book[int]
+	now  time.Time
+	// latest is the latest time that the Book was told, issued that of a key.
+	latest  time.Time
+	issued  time.Duration
+	keys    []*naiveRecord
+	answers map[int]int
+	waiters int
+	// heldBytes is at least the size of all answers ever recorded.
+	heldBytes int
+}
+
+func newBookMachine(t *rapid.T) *bookMachine {
+	useWithin := time.Duration(rapid.IntRange(1, 10).Draw(t, "use-within")) * time.Second
+	cfg := caller.BookConfig{
+		Start:          time.Unix(1000, 0),
+		UseWithin:      useWithin,
+		KeepFor:        useWithin + time.Duration(rapid.IntRange(0, 5).Draw(t, "keep-longer"))*time.Second,
+		MaxRecords:     rapid.IntRange(1, 6).Draw(t, "max-records"),
+		MaxAnswerBytes: rapid.IntRange(0, 400).Draw(t, "max-answer-bytes"),
+	}
+	book, err := caller.NewBook[int](cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bookMachine{cfg: cfg, book: book, now: cfg.Start, latest: cfg.Start, answers: make(map[int]int)}
+}
+
+// Issue adds a key; serials may leave gaps, as keys that are never used do.
+func (m *bookMachine) Issue(t *rapid.T) {
+	serial := uint64(rapid.SampledFrom([]int{1, 1, 1, 200, 600, 3000}).Draw(t, "gap"))
+	if n := len(m.keys); n > 0 {
+		serial += m.keys[n-1].key.Serial
+	}
+	m.issued = max(m.issued, m.now.Sub(m.cfg.Start))
+	key := caller.Key{Serial: serial, Issued: m.issued, Check: serial * 7}
+	m.keys = append(m.keys, &naiveRecord{key: key})
+}
+
+// Move changes the time, at times backwards. Its steps are coarse, so that
+// the times at which something is due are met exactly.
+func (m *bookMachine) Move(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(-6, 10).Draw(t, "steps")) * time.Second / 2)
+}
+
+// tell notes that the Book is told of the present time.
+func (m *bookMachine) tell() {
+	if m.now.After(m.latest) {
+		m.latest = m.now
+	}
+}
+
+func (m *bookMachine) Expire(*rapid.T) {
+	m.tell()
+	m.book.Expire(m.now)
+}
+
+func (m *bookMachine) Submit(t *rapid.T) {
+	if len(m.keys) == 0 {
+		t.Skip("no keys")
+	}
+	rec := rapid.SampledFrom(m.keys).Draw(t, "key")
+	payload := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "payload")
+	job := caller.Job{Key: rec.key, Route: "previews", Tasks: [][]byte{[]byte(payload)}}
+	m.waiters++
+	w := m.waiters
+	m.tell()
+	if issued := m.cfg.Start.Add(rec.key.Issued); issued.After(m.latest) {
+		m.latest = issued
+	}
+	decision, answer := m.book.Submit(m.now, job, w)
+	switch decision {
+	case caller.Accept:
+		m.checkAccept(t, rec)
+		rec.accepted = &job
+		rec.waiting = append(rec.waiting, w)
+	case caller.Wait:
+		if rec.accepted == nil || rec.answer != nil || !reflect.DeepEqual(*rec.accepted, job) {
+			t.Fatalf("waits for a job that is not running: %+v", rec)
+		}
+		rec.waiting = append(rec.waiting, w)
+	default:
+		m.answers[w]++
+		m.checkAnswer(t, rec, job, answer)
+		rec.notRun = rec.notRun || answer.Status == caller.NotRun
+	}
+}
+
+func (m *bookMachine) checkAccept(t *rapid.T, rec *naiveRecord) {
+	if rec.accepted != nil {
+		t.Fatalf("accepted twice: %+v", rec)
+	}
+	if rec.notRun {
+		t.Fatalf("accepted after not-run: %+v", rec)
+	}
+	if m.age(rec) >= m.cfg.UseWithin {
+		t.Fatalf("accepted at age %s", m.age(rec))
+	}
+}
+
+func (m *bookMachine) checkAnswer(t *rapid.T, rec *naiveRecord, job caller.Job, answer caller.Answer) {
+	if answer.Key != job.Key {
+		t.Fatalf("answer of another key: %+v", answer)
+	}
+	mismatch := rec.accepted != nil && !reflect.DeepEqual(*rec.accepted, job)
+	switch {
+	case answer.Status == caller.NotRun:
+		if rec.accepted != nil && (rec.answer == nil || rec.answer.Status != caller.NotRun) {
+			t.Fatalf("not-run of a job that was accepted: %+v", rec)
+		}
+	case answer.Status == caller.Unknown && answer.Reason == caller.ReasonMismatch:
+		if !mismatch {
+			t.Fatalf("no mismatch: %+v", rec)
+		}
+	case answer.Status == caller.Unknown && answer.Reason == caller.ReasonExpired:
+		m.checkExpired(t, rec)
+	case mismatch || rec.answer == nil || answer.Status != rec.answer.Status || answer.Reason != rec.answer.Reason:
+		t.Fatalf("not the first answer: %+v, but %+v", rec, answer)
+	case answer.Status == caller.Complete && !reflect.DeepEqual(answer, *rec.answer):
+		t.Fatalf("not the first results: %+v, but %+v", rec, answer)
+	}
+}
+
+// checkExpired fails unless a record was due, or an answer's bytes too many.
+func (m *bookMachine) checkExpired(t *rapid.T, rec *naiveRecord) {
+	if rec.accepted == nil || rec.notRun || rec.answer != nil && rec.answer.Status == caller.NotRun {
+		if m.age(rec) < m.cfg.UseWithin {
+			t.Fatalf("expired at age %s: %+v", m.age(rec), rec)
+		}
+		return
+	}
+	if rec.answer == nil {
+		t.Fatalf("expired although running: %+v", rec)
+	}
+	due := m.latest.Sub(rec.endedAt) >= m.cfg.KeepFor
+	if dropped := rec.answer.Status == caller.Complete && m.heldBytes > m.cfg.MaxAnswerBytes; !due && !dropped {
+		t.Fatalf("expired early: %+v", rec)
+	}
+}
+
+func (m *bookMachine) Finish(t *rapid.T) {
+	if len(m.keys) == 0 {
+		t.Skip("no keys")
+	}
+	rec := rapid.SampledFrom(m.keys).Draw(t, "key")
+	answer := rapid.SampledFrom([]caller.Answer{
+		{Status: caller.Complete, Results: [][]byte{make([]byte, 100)}},
+		{Status: caller.Failed, Reason: caller.ReasonTask, Message: "task 3"},
+		{Status: caller.NotRun, Reason: caller.ReasonOverload},
+		{Status: caller.NotRun, Reason: caller.ReasonRoute},
+	}).Draw(t, "answer")
+	answer.Key = rec.key
+	m.tell()
+	waiters := m.book.Finish(m.now, rec.key, answer)
+	if !reflect.DeepEqual(waiters, rec.waiting) {
+		t.Fatalf("finish of %+v returned %v", rec, waiters)
+	}
+	if rec.waiting == nil {
+		return
+	}
+	for _, w := range waiters {
+		m.answers[w]++
+	}
+	rec.waiting = nil
+	rec.answer = &answer
+	rec.endedAt = m.latest
+	m.heldBytes += 200
+}
+
+// Check runs after every step.
+func (m *bookMachine) Check(t *rapid.T) {
+	if n := m.book.Records(); n > m.cfg.MaxRecords {
+		t.Fatalf("%d records", n)
+	}
+	if n := m.book.AnswerBytes(); n < 0 || n > m.cfg.MaxAnswerBytes {
+		t.Fatalf("%d answer bytes", n)
+	}
+	if m.book.Records() == 0 && m.book.AnswerBytes() != 0 {
+		t.Fatalf("%d answer bytes without a record", m.book.AnswerBytes())
+	}
+	open := 0
+	waiting := 0
+	for _, rec := range m.keys {
+		waiting += len(rec.waiting)
+		if rec.waiting != nil {
+			open++
+		}
+	}
+	if open != m.book.Open() {
+		t.Fatalf("%d open, not %d", m.book.Open(), open)
+	}
+	if len(m.answers)+waiting != m.waiters {
+		t.Fatalf("%d waiters, %d answered, %d waiting", m.waiters, len(m.answers), waiting)
+	}
+	for w, n := range m.answers {
+		if n != 1 {
+			t.Fatalf("waiter %d got %d answers", w, n)
+		}
+	}
+}
+
+// age returns the age of a key at the latest time seen.
+func (m *bookMachine) age(rec *naiveRecord) time.Duration {
+	return m.latest.Sub(m.cfg.Start.Add(rec.key.Issued))
+}
+
+func TestBookAgreesWithNaiveMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(rapid.StateMachineActions(newBookMachine(t)))
+	})
+}
+
+func TestKeyTextRoundTrips(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owner := rapid.SampledFrom([]string{"127.0.0.1:1", "[::1]:65535", "[::ffff:127.0.0.1]:7000"}).Draw(t, "owner")
+		keys := newKeys(t, owner, rapid.Uint64().Draw(t, "incarnation"))
+		age := time.Duration(rapid.Int64Range(0, int64(1000*24*time.Hour)).Draw(t, "age"))
+		key := keys.Issue(keysStart.Add(age))
+		parsed, err := caller.ParseKey(key.String())
+		if err != nil || parsed != key || keys.Check(parsed) != nil {
+			t.Fatal(fmt.Sprint(key, parsed, err))
+		}
+		var decoded caller.Key
+		form, _ := key.MarshalBinary()
+		if err := decoded.UnmarshalBinary(form); err != nil || decoded != key {
+			t.Fatal(fmt.Sprint(key, decoded, err))
+		}
+	})
+}
--- /dev/null
+++ b/caller/digest.go
@@ -0,0 +1,25 @@
+package caller
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// digest returns a hash of a job's route and tasks, and of where each ends.
+// Key and Timeout are left out: a repeat may have less time than the first.
+func digest(job Job) uint64 {
+	hash := xxhash.New()
+	var length [8]byte
+	writeLength := func(n int) {
+		binary.LittleEndian.PutUint64(length[:], uint64(n))
+		_, _ = hash.Write(length[:])
+	}
+	writeLength(len(job.Route))
+	_, _ = hash.WriteString(job.Route)
+	for _, task := range job.Tasks {
+		writeLength(len(task))
+		_, _ = hash.Write(task)
+	}
+	return hash.Sum64()
+}
--- /dev/null
+++ b/caller/key_test.go
@@ -0,0 +1,120 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var keysStart = time.Unix(1_000_000, 0)
+
+type fataler interface {
+	Helper()
+	Fatal(...any)
+}
+
+func newKeys(t fataler, owner string, incarnation uint64) *caller.Keys {
+	t.Helper()
+	keys, err := caller.NewKeys(caller.KeysConfig{
+		Owner:       netip.MustParseAddrPort(owner),
+		Incarnation: incarnation,
+		Secret:      [32]byte{byte(incarnation), 1},
+		Start:       keysStart,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
+
+func ExampleKeys() {
+	start := time.Unix(1_000_000, 0)
+	keys, err := caller.NewKeys(caller.KeysConfig{
+		Owner:       netip.MustParseAddrPort("127.0.0.1:7000"),
+		Incarnation: 1,
+		Secret:      [32]byte{1},
+		Start:       start,
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	key := keys.Issue(start.Add(time.Second))
+	parsed, err := caller.ParseKey(key.String())
+	fmt.Println(parsed == key, err, keys.Check(parsed))
+	parsed.Serial++
+	fmt.Println(errors.As(keys.Check(parsed), new(*caller.KeyError)))
+	// Output:
+	// true <nil> <nil>
+	// true
+}
+
+func TestKeysCheckNamesTheFault(t *testing.T) {
+	keys := newKeys(t, "127.0.0.1:7000", 1)
+	key := keys.Issue(keysStart)
+	forged := []caller.Key{key, key, key}
+	forged[0].Serial++
+	forged[1].Issued += time.Millisecond
+	forged[2].Check ^= 1 << 63
+	tests := []struct {
+		key   caller.Key
+		fault caller.KeyFault
+	}{
+		{newKeys(t, "127.0.0.1:7001", 1).Issue(keysStart), caller.KeyOtherOwner},
+		{newKeys(t, "127.0.0.1:7000", 2).Issue(keysStart), caller.KeyOtherIncarnation},
+		{forged[0], caller.KeyForged},
+		{forged[1], caller.KeyForged},
+		{forged[2], caller.KeyForged},
+		{caller.Key{}, caller.KeyOtherOwner},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		var keyErr *caller.KeyError
+		is.True(errors.As(keys.Check(test.key), &keyErr))
+		is.Equal(keyErr.Fault, test.fault)
+	}
+}
+
+func TestKeysIssueInOrderOfTime(t *testing.T) {
+	is := is.New(t)
+	keys := newKeys(t, "127.0.0.1:7000", 1)
+	first := keys.Issue(keysStart.Add(time.Minute))
+	second := keys.Issue(keysStart)
+	is.True(second.Serial > first.Serial)
+	is.Equal(second.Issued, time.Minute) // the clock went back, the order of issue did not
+}
+
+func TestParseKeyRejectsBadText(t *testing.T) {
+	good := newKeys(t, "127.0.0.1:7000", 1).Issue(keysStart).String()
+	bad := []string{
+		"", "A", "!", good + "A", good[1:], good[:len(good)-1], good + "\n",
+		good[:10] + "\r\n" + good[10:], "B" + good[1:], strings.Repeat("A", 1<<20),
+	}
+	for _, text := range bad {
+		is := is.New(t)
+		_, err := caller.ParseKey(text)
+		var keyErr *caller.KeyError
+		is.True(errors.As(err, &keyErr))
+		is.Equal(keyErr.Fault, caller.KeyMalformed)
+		is.True(len(keyErr.Text) <= 80)
+	}
+}
+
+func TestKeyInJSON(t *testing.T) {
+	is := is.New(t)
+	key := newKeys(t, "[::1]:7000", 1).Issue(keysStart)
+	for _, want := range []caller.Key{key, {}} {
+		text, err := json.Marshal(want)
+		is.NoErr(err)
+		var got caller.Key
+		is.NoErr(json.Unmarshal(text, &got))
+		is.Equal(got, want)
+	}
+}
