backend: share slots, choose servers, eject, and speak HTTP

The entry instance needs one place that decides which waiting task starts on which backend server.

Change: package chart interprets state charts; backend.Holding shares slots by guarantee, urgency and lending, learns speeds and ejects; backend.Client runs a task over HTTP and never sends it twice.

Ruled out: http.Client, which follows redirects; a GetBody, with which the transport may send a body again.

--- /dev/null
+++ b/backend/choose.go
@@ -0,0 +1,156 @@
+package backend
+
+import "time"
+
+// slowerLeast is the least factor by which a server must be slower than others
+// for a task to wait for those.
+const slowerLeast = 1.5
+
+// next decides which waiting task starts where. It returns false if none is to
+// start now.
+func (d *dispatcher) next(now time.Time) (handle, *server, bool) {
+	d.advance(now)
+	if d.waiting == 0 || d.free == 0 {
+		return handle{}, nil, false
+	}
+	for _, r := range d.order {
+		r.account(now, d.guarantee(r))
+	}
+	d.decision++
+	for {
+		r := d.nextRoute()
+		if r == nil {
+			return handle{}, nil, false
+		}
+		if h, s, ok := d.match(now, r); ok {
+			d.start(now, h, s)
+			return h, s, true
+		}
+		r.tried = d.decision
+	}
+}
+
+// nextRoute returns the route whose turn it is of those that have tasks and
+// have not been tried in this decision, or nil.
+func (d *dispatcher) nextRoute() *route {
+	var best *route
+	slots := 0.0
+	for _, r := range d.order {
+		if r.queue.length == 0 || r.tried == d.decision {
+			continue
+		}
+		g := d.guarantee(r)
+		if best == nil || before(r, best, g, slots) {
+			best, slots = r, g
+		}
+	}
+	return best
+}
+
+// match returns a task of r and the server where it is to start now.
+func (d *dispatcher) match(now time.Time, r *route) (handle, *server, bool) {
+	for {
+		s := d.shelves[r.class].first()
+		if s == nil {
+			return handle{}, nil, false
+		}
+		n := d.patience(r, s)
+		if n >= r.queue.length {
+			return handle{}, nil, false
+		}
+		h, ok := r.queue.nth(&d.tasks, n)
+		if !ok {
+			return handle{}, nil, false
+		}
+		if d.tasks.records[h.index].deadline > d.instant(now) {
+			return h, s, true
+		}
+		d.setOverdue(h)
+	}
+}
+
+// patience returns the number of waiting tasks of r that are expected to
+// finish sooner if they wait for a faster server than s.
+//
+// The n-th task waits for n of the tasks that run on faster servers to end.
+// With b tasks on servers of factor f and a mean work w, one ends each
+// w*f/b; the sum over the faster levels is what each level could save.
+func (d *dispatcher) patience(r *route, s *server) int {
+	if !r.work.known() || d.runningWork <= 0 {
+		return 0
+	}
+	own := levelFactors[s.level]
+	sum := 0.0
+	for level := 0; level < s.level; level++ {
+		if d.busy[level] == 0 || own < slowerLeast*levelFactors[level] {
+			continue
+		}
+		sum += float64(d.busy[level]) * (own/levelFactors[level] - 1)
+	}
+	if sum == 0 {
+		return 0
+	}
+	meanWork := d.runningWork / float64(d.running)
+	return int(sum * r.work.mean / meanWork * d.turn(r))
+}
+
+// turn returns the part of the next free slots that r gets, in [0, 1].
+func (d *dispatcher) turn(r *route) float64 {
+	if float64(r.running) < d.guarantee(r) {
+		return 1
+	}
+	shares := 0
+	for _, other := range d.order {
+		if other.queue.length > 0 {
+			shares += other.row.Share
+		}
+	}
+	if shares == 0 {
+		return 1
+	}
+	return float64(r.row.Share) / float64(shares)
+}
+
+// start moves a waiting task to a server.
+func (d *dispatcher) start(now time.Time, h handle, s *server) {
+	rec := &d.tasks.records[h.index]
+	r := rec.route
+	rec.state = running
+	rec.server = s
+	rec.started = now
+	rec.demand = r.demand
+	rec.work = r.work.mean
+	d.unqueue(rec)
+	r.running++
+	d.running++
+	d.runningWork += rec.work
+	s.running++
+	s.used.milliCores += rec.demand.milliCores
+	s.used.memoryMiB += rec.demand.memoryMiB
+	d.refresh(s)
+	if r.work.known() {
+		late := now.Add(max(lateLeast, seconds(lateFactor*r.work.mean*max(1, s.slowness.factor()))))
+		d.lates.push(&d.tasks, d.running, timer{at: d.instant(late), task: h})
+	}
+}
+
+// setOverdue takes a task from its queue for the next call of takeOverdue.
+func (d *dispatcher) setOverdue(h handle) {
+	rec := &d.tasks.records[h.index]
+	d.unqueue(rec)
+	rec.state = expired
+	d.overdue = append(d.overdue, h)
+}
+
+// findOverdue collects the waiting tasks that cannot end by their deadlines.
+func (d *dispatcher) findOverdue(now time.Time) {
+	d.advance(now)
+	instant := d.instant(now)
+	for {
+		h, ok := d.deadlines.pop(&d.tasks, instant)
+		if !ok {
+			return
+		}
+		d.setOverdue(h)
+	}
+}
--- /dev/null
+++ b/backend/client.go
@@ -0,0 +1,284 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The header fields of a task's request and of its response.
+const (
+	keyField     = "Submission-Key"
+	indexField   = "Task-Index"
+	attemptField = "Task-Attempt"
+	routeField   = "Route"
+	// timeoutField is the time left in milliseconds, rounded up.
+	timeoutField = "Task-Timeout"
+	notRunField  = "Not-Run"
+	leavingField = "Leaving"
+	runningField = "Running"
+	waitingField = "Waiting"
+)
+
+// tasksPath is where a backend server takes tasks.
+const tasksPath = "/v1/tasks"
+
+// The defaults of a ClientConfig.
+const (
+	defaultConnections   = 64
+	defaultDialTimeout   = time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	defaultMaxResultSize = 16 << 20
+)
+
+// ClientConfig configures a Client. A zero field means its default.
+type ClientConfig struct {
+	// Connections is the largest number of connections to one server. A task
+	// beyond it waits. The default is 64.
+	Connections int
+	// DialTimeout bounds the time to make a connection. The default is 1 s.
+	DialTimeout time.Duration
+	// IdleTimeout is the time for which an unused connection is kept. It
+	// should be shorter than the servers'. The default is 30 s.
+	IdleTimeout time.Duration
+	// MaxResultSize is the largest size of a task's result in bytes. The
+	// default is 16 MiB.
+	MaxResultSize int64
+}
+
+// A Request is one attempt of a task on a backend server.
+type Request struct {
+	// Server is where the task is to run.
+	Server netip.AddrPort
+	// Key is the submission key.
+	Key string
+	// Index is the task's position in its job.
+	Index int
+	// Attempt counts the times that the task was given to a holder.
+	Attempt int
+	// Route names the task's route.
+	Route string
+	// Timeout is the time after which nobody waits for the result. Zero
+	// means that only the context ends the request.
+	Timeout time.Duration
+	// Payload is what the task works on.
+	Payload []byte
+}
+
+// An AnswerError reports an answer of a backend server that is no result.
+type AnswerError struct {
+	// Server is the backend server.
+	Server netip.AddrPort
+	// Status is the HTTP status code.
+	Status int
+}
+
+// Error describes the answer.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("backend server %v answered with status %d", e.Server, e.Status)
+}
+
+// A SizeError reports a result that is larger than the Client takes.
+type SizeError struct {
+	// Server is the backend server.
+	Server netip.AddrPort
+	// Limit is the largest size in bytes.
+	Limit int64
+}
+
+// Error describes the result.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("the result from backend server %v is larger than %d bytes", e.Server, e.Limit)
+}
+
+// A Client runs tasks on backend servers over HTTP and keeps connections to
+// them. It is safe for concurrent use.
+type Client struct {
+	cfg       ClientConfig
+	transport *http.Transport
+	mu        sync.RWMutex
+	urls      map[netip.AddrPort]*url.URL
+}
+
+// NewClient returns a Client without connections. It returns a *ConfigError if
+// cfg is out of range.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	setDefault(&cfg.Connections, defaultConnections)
+	setDefault(&cfg.DialTimeout, defaultDialTimeout)
+	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
+	setDefault(&cfg.MaxResultSize, defaultMaxResultSize)
+	if cfg.Connections < 0 {
+		return nil, &ConfigError{Field: "Connections", Value: cfg.Connections, Want: "positive"}
+	}
+	if cfg.DialTimeout < 0 || cfg.IdleTimeout < 0 {
+		return nil, &ConfigError{Field: "DialTimeout or IdleTimeout", Value: cfg, Want: "positive"}
+	}
+	if cfg.MaxResultSize < 0 {
+		return nil, &ConfigError{Field: "MaxResultSize", Value: cfg.MaxResultSize, Want: "positive"}
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	c := &Client{cfg: cfg, urls: map[netip.AddrPort]*url.URL{}}
+	c.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &meteredConn{Conn: conn}, nil
+		},
+		Protocols:           &protocols,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: cfg.Connections,
+		MaxConnsPerHost:     cfg.Connections,
+		IdleConnTimeout:     cfg.IdleTimeout,
+	}
+	return c, nil
+}
+
+// Close closes the connections that no task uses.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Run has a task run on a backend server and returns what became of it. The
+// task's request is sent at most once.
+func (c *Client) Run(ctx context.Context, r Request) Outcome {
+	if r.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+	}
+	var sent meter
+	trace := &httptrace.ClientTrace{GotConn: sent.gotConn}
+	request := c.request(httptrace.WithClientTrace(ctx, trace), r)
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return failure(sent.nothing(), err)
+	}
+	defer response.Body.Close()
+	return c.outcome(r.Server, response)
+}
+
+// failure returns the Outcome of a task without an answer.
+func failure(nothingSent bool, err error) Outcome {
+	if nothingSent {
+		return Outcome{Kind: NotStarted, Err: errors.Wrap(err, "reach backend server")}
+	}
+	return Outcome{Kind: Lost, Err: errors.Wrap(err, "await backend server")}
+}
+
+// request returns the HTTP request of r. It has no GetBody, so that the
+// transport cannot send the body again.
+func (c *Client) request(ctx context.Context, r Request) *http.Request {
+	request := &http.Request{
+		Method:     http.MethodPost,
+		URL:        c.url(r.Server),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header: http.Header{
+			keyField:     {r.Key},
+			indexField:   {strconv.Itoa(r.Index)},
+			attemptField: {strconv.Itoa(r.Attempt)},
+			routeField:   {r.Route},
+		},
+		ContentLength: int64(len(r.Payload)),
+	}
+	if r.Timeout > 0 {
+		ms := (r.Timeout + time.Millisecond - 1) / time.Millisecond
+		request.Header[timeoutField] = []string{strconv.FormatInt(int64(ms), 10)}
+	}
+	if len(r.Payload) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.Payload))
+	}
+	return request.WithContext(ctx)
+}
+
+// url returns the URL of the server's tasks.
+func (c *Client) url(server netip.AddrPort) *url.URL {
+	c.mu.RLock()
+	u := c.urls[server]
+	c.mu.RUnlock()
+	if u != nil {
+		return u
+	}
+	u = &url.URL{Scheme: "http", Host: server.String(), Path: tasksPath}
+	c.mu.Lock()
+	c.urls[server] = u
+	c.mu.Unlock()
+	return u
+}
+
+// outcome reads a server's answer.
+func (c *Client) outcome(server netip.AddrPort, response *http.Response) Outcome {
+	o := Outcome{Leaving: response.Header.Get(leavingField) == "true"}
+	o.reported(response.Header)
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return c.result(server, response, o)
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(notRunField) == "true":
+		o.Kind = NotStarted
+	case response.StatusCode >= http.StatusBadRequest:
+		o.Kind = Failed
+	default:
+		o.Kind = Lost
+	}
+	o.Err = &AnswerError{Server: server, Status: response.StatusCode}
+	return o
+}
+
+// reported reads the numbers of tasks that the server reports.
+func (o *Outcome) reported(header http.Header) {
+	nowRunning, err := strconv.Atoi(header.Get(runningField))
+	if err != nil {
+		return
+	}
+	nowWaiting, err := strconv.Atoi(header.Get(waitingField))
+	if err != nil {
+		nowWaiting = 0
+	}
+	o.Reported = true
+	o.Running = max(0, nowRunning)
+	o.Waiting = max(0, nowWaiting)
+}
+
+// result reads the result of a task that succeeded.
+func (c *Client) result(server netip.AddrPort, response *http.Response, o Outcome) Outcome {
+	if response.ContentLength > c.cfg.MaxResultSize {
+		o.Kind, o.Err = Failed, &SizeError{Server: server, Limit: c.cfg.MaxResultSize}
+		return o
+	}
+	body, err := c.read(response)
+	switch {
+	case err != nil:
+		o.Kind, o.Err = Lost, errors.Wrap(err, "read result")
+	case int64(len(body)) > c.cfg.MaxResultSize:
+		o.Kind, o.Err = Failed, &SizeError{Server: server, Limit: c.cfg.MaxResultSize}
+	default:
+		o.Kind, o.Body = Done, body
+	}
+	return o
+}
+
+// read returns the response's body, or a little more than the largest size.
+func (c *Client) read(response *http.Response) ([]byte, error) {
+	if response.ContentLength >= 0 {
+		body := make([]byte, response.ContentLength)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(response.Body, c.cfg.MaxResultSize+1))
+}
--- /dev/null
+++ b/backend/dispatcher.go
@@ -0,0 +1,239 @@
+package backend
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// lateFactor is the multiple of a route's expected run time after which
+	// a running task counts as slow.
+	lateFactor = 8
+	// lateLeast is the shortest run time that counts as slow.
+	lateLeast = 500 * time.Millisecond
+	// sweepEvery is the time between two looks at what ages.
+	sweepEvery = time.Second
+	// keepReleased is the time for which a server that is no longer held is
+	// remembered.
+	keepReleased = 10 * time.Minute
+)
+
+// A dispatcher is a Holding without the tasks' IDs.
+type dispatcher struct {
+	ejector *Ejector
+	tasks   slab
+	// epoch is the instant from which records and timers count.
+	epoch time.Time
+	// routes holds all routes, and order the same sorted by name.
+	routes map[string]*route
+	order  []*route
+	// shares is the sum of the shares of all routes.
+	shares int
+	// servers holds all servers, and held those held, sorted by address.
+	servers map[netip.AddrPort]*server
+	held    []*server
+	shelves []*shelf
+	// usable, free, and busy are the sums over the servers held.
+	usable, free int
+	busy         [speedLevels]int
+	// waiting and running are the numbers of tasks, and runningWork the sum
+	// of the expected run times of those running, in seconds.
+	waiting, running int
+	runningWork      float64
+	deadlines        timers
+	lates            timers
+	// overdue holds tasks that were found overdue when a server was chosen.
+	overdue []handle
+	// decision counts the calls of next.
+	decision uint64
+	// sweepAt is when the next look at what ages is due.
+	sweepAt time.Time
+}
+
+func newDispatcher(ejector *Ejector) *dispatcher {
+	return &dispatcher{
+		ejector:   ejector,
+		routes:    map[string]*route{},
+		servers:   map[netip.AddrPort]*server{},
+		deadlines: timers{state: waiting},
+		lates:     timers{state: running},
+	}
+}
+
+// instant returns t as a duration since the epoch.
+func (d *dispatcher) instant(t time.Time) time.Duration {
+	if d.epoch.IsZero() {
+		d.epoch = t
+	}
+	return t.Sub(d.epoch)
+}
+
+// guarantee returns the number of slots that r has under contention.
+func (d *dispatcher) guarantee(r *route) float64 {
+	if d.shares == 0 {
+		return 0
+	}
+	return float64(r.row.Share) * float64(d.usable) / float64(d.shares)
+}
+
+// push adds a waiting task and returns its handle.
+func (d *dispatcher) push(now time.Time, name string, arrived, deadline time.Time) handle {
+	r := d.route(name)
+	r.account(now, d.guarantee(r))
+	if arrived.IsZero() {
+		arrived = now
+	}
+	h := d.tasks.add()
+	rec := &d.tasks.records[h.index]
+	rec.state = waiting
+	rec.route = r
+	rec.deadline = never
+	r.queue.push(&d.tasks, d.instant(arrived), h)
+	d.waiting++
+	if !deadline.IsZero() {
+		rec.deadline = d.instant(deadline) - seconds(r.work.least)
+		d.deadlines.push(&d.tasks, d.waiting, timer{at: rec.deadline, task: h})
+	}
+	return h
+}
+
+// remove drops the task if it has not started, and reports whether it did.
+func (d *dispatcher) remove(h handle) bool {
+	if rec := d.tasks.get(h, waiting); rec != nil {
+		d.unqueue(rec)
+		d.tasks.drop(h.index)
+		return true
+	}
+	if d.tasks.get(h, expired) != nil {
+		d.tasks.drop(h.index)
+		return true
+	}
+	return false
+}
+
+// unqueue counts a task as no longer waiting.
+func (d *dispatcher) unqueue(rec *record) {
+	rec.route.queue.length--
+	d.waiting--
+}
+
+// advance brings all that depends on time up to now.
+func (d *dispatcher) advance(now time.Time) {
+	if d.ejector.Advance(now) {
+		d.refreshAll()
+	}
+	d.recordLate(now)
+	if now.Before(d.sweepAt) {
+		return
+	}
+	d.sweepAt = now.Add(sweepEvery)
+	d.ageSpeeds(now)
+	d.forgetReleased(now)
+}
+
+// recordLate reports the running tasks that take much longer than expected.
+func (d *dispatcher) recordLate(now time.Time) {
+	for {
+		h, ok := d.lates.pop(&d.tasks, d.instant(now))
+		if !ok {
+			return
+		}
+		rec := &d.tasks.records[h.index]
+		rec.late = true
+		d.observe(now, rec, Observation{Kind: Lost, Slow: true})
+	}
+}
+
+// ageSpeeds takes confidence from old estimates and centres the servers'
+// speeds, so that a typical server's factor stays 1.
+func (d *dispatcher) ageSpeeds(now time.Time) {
+	sum, known := 0.0, 0
+	for _, s := range d.held {
+		if s.excess > 0 && !now.Before(s.excessUntil) {
+			s.excess = 0
+		}
+		if now.Sub(s.slowness.at) > sweepEvery {
+			s.slowness.age(now)
+		}
+		if s.slowness.samples >= 1 {
+			sum += s.slowness.log
+			known++
+		}
+	}
+	if known > 0 {
+		d.centre(sum / float64(known))
+	}
+	d.refreshAll()
+}
+
+// centre moves the mean from the servers' estimates to the routes'.
+func (d *dispatcher) centre(mean float64) {
+	for _, s := range d.held {
+		if s.slowness.samples >= 1 {
+			s.slowness.log -= mean
+		}
+	}
+	for _, r := range d.order {
+		r.work.scale(mean)
+	}
+}
+
+// observe tells the Ejector of a task on the record's server.
+func (d *dispatcher) observe(now time.Time, rec *record, o Observation) {
+	o.Route = rec.route.row.Name
+	o.Started = rec.started
+	d.ejector.Record(now, rec.server.row.Address, o)
+	d.refresh(rec.server)
+}
+
+// done ends a running task and learns from its outcome. It reports false if
+// the handle is of no running task.
+func (d *dispatcher) done(now time.Time, h handle, o Outcome) bool {
+	rec := d.tasks.get(h, running)
+	if rec == nil {
+		return false
+	}
+	r, s := rec.route, rec.server
+	r.account(now, d.guarantee(r))
+	r.running--
+	s.running--
+	s.used.milliCores -= rec.demand.milliCores
+	s.used.memoryMiB -= rec.demand.memoryMiB
+	d.running--
+	d.runningWork -= rec.work
+	if d.running == 0 {
+		d.runningWork = 0
+	}
+	s.report(now, o)
+	slow := d.learn(now, rec, o)
+	if !rec.late || o.Kind == NotStarted || o.Kind == Done && !slow {
+		d.observe(now, rec, Observation{Kind: o.Kind, Slow: slow, Leaving: o.Leaving})
+	} else if o.Leaving {
+		d.ejector.SetLeaving(now, s.row.Address, true)
+	}
+	d.refresh(s)
+	d.tasks.drop(h.index)
+	return true
+}
+
+// learn takes the run time of a task that succeeded into the estimates, and
+// reports whether the task was slow.
+func (d *dispatcher) learn(now time.Time, rec *record, o Outcome) bool {
+	if o.Kind != Done {
+		return false
+	}
+	run := now.Sub(rec.started)
+	slow := rec.route.work.known() && run >= lateAfter(&rec.route.work)
+	learn(now, &rec.route.work, &rec.server.slowness, run)
+	return slow
+}
+
+// lateAfter returns the run time from which a task counts as slow.
+func lateAfter(w *work) time.Duration {
+	return max(lateLeast, seconds(lateFactor*w.mean))
+}
+
+// seconds returns the duration of so many seconds.
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/backend/fleet.go
@@ -0,0 +1,197 @@
+package backend
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// unlistedShare is the share of a route that is not in the tables.
+const unlistedShare = 1
+
+// route returns the route called name, which it adds with the least share if
+// the tables do not list it yet.
+func (d *dispatcher) route(name string) *route {
+	r := d.routes[name]
+	if r == nil {
+		d.addRoute(operator.Route{Name: name, Share: unlistedShare})
+		r = d.routes[name]
+		d.indexRoutes()
+	}
+	return r
+}
+
+func (d *dispatcher) addRoute(row operator.Route) *route {
+	r := &route{row: row}
+	d.routes[row.Name] = r
+	d.order = append(d.order, r)
+	return r
+}
+
+// setRoutes replaces the rows. A route that is no longer listed stays until
+// its tasks have ended.
+func (d *dispatcher) setRoutes(rows []operator.Route) {
+	for _, r := range d.order {
+		r.listed = false
+	}
+	for _, row := range rows {
+		r := d.routes[row.Name]
+		if r == nil {
+			r = d.addRoute(row)
+		}
+		r.row = row
+		r.row.Share = max(row.Share, unlistedShare)
+		r.listed = true
+	}
+	d.order = slices.DeleteFunc(d.order, d.finished)
+	d.indexRoutes()
+}
+
+// finished reports whether r is neither listed nor has tasks, and drops it.
+func (d *dispatcher) finished(r *route) bool {
+	if r.listed || r.running > 0 || r.queue.length > 0 {
+		return false
+	}
+	delete(d.routes, r.row.Name)
+	return true
+}
+
+// indexRoutes brings up to date what follows from the rows of all routes.
+func (d *dispatcher) indexRoutes() {
+	slices.SortFunc(d.order, func(a, b *route) int {
+		return strings.Compare(a.row.Name, b.row.Name)
+	})
+	d.shares = 0
+	d.shelves = d.shelves[:0]
+	for _, r := range d.order {
+		d.shares += r.row.Share
+		r.demand = demandOf(r.row)
+		r.class = d.shelfOf(r.demand)
+	}
+	for _, s := range d.servers {
+		s.positions = newPositions(len(d.shelves))
+	}
+	d.refreshAll()
+}
+
+// shelfOf returns the position of the shelf for the demand, which it adds if
+// need be.
+func (d *dispatcher) shelfOf(want demand) int {
+	for i, f := range d.shelves {
+		if f.demand == want {
+			return i
+		}
+	}
+	d.shelves = append(d.shelves, &shelf{demand: want, class: len(d.shelves)})
+	return len(d.shelves) - 1
+}
+
+func newPositions(n int) []int32 {
+	positions := make([]int32, n)
+	for i := range positions {
+		positions[i] = absent
+	}
+	return positions
+}
+
+// setServers replaces the servers held.
+func (d *dispatcher) setServers(now time.Time, rows []operator.Server) {
+	for _, s := range d.held {
+		s.held = false
+		s.released = now
+		d.ejector.Release(s.row.Address)
+	}
+	before := d.held
+	d.held = nil
+	for _, row := range rows {
+		s := d.servers[row.Address]
+		if s == nil {
+			s = d.addServer(now, row.Address)
+		}
+		if s.held {
+			continue
+		}
+		s.row = row
+		s.held = true
+		d.ejector.Add(row.Address)
+		d.held = append(d.held, s)
+	}
+	slices.SortFunc(d.held, func(a, b *server) int {
+		return a.row.Address.Compare(b.row.Address)
+	})
+	for _, s := range before {
+		d.refresh(s)
+	}
+	d.refreshAll()
+}
+
+func (d *dispatcher) addServer(now time.Time, addr netip.AddrPort) *server {
+	s := &server{
+		health:    d.ejector.add(addr),
+		slowness:  slowness{at: now},
+		positions: newPositions(len(d.shelves)),
+	}
+	d.servers[addr] = s
+	return s
+}
+
+// forgetReleased drops the servers that were released long ago.
+func (d *dispatcher) forgetReleased(now time.Time) {
+	for addr, s := range d.servers {
+		if s.held || s.running > 0 || now.Sub(s.released) < keepReleased {
+			continue
+		}
+		delete(d.servers, addr)
+		d.ejector.Forget(addr)
+	}
+}
+
+// refreshAll refreshes every server held.
+func (d *dispatcher) refreshAll() {
+	for _, s := range d.held {
+		d.refresh(s)
+	}
+}
+
+// refresh brings the sums and shelves up to date after a change of s.
+func (d *dispatcher) refresh(s *server) {
+	d.usable -= s.usable
+	d.free -= s.free
+	d.busy[s.busyLevel] -= s.busy
+	s.setLevel()
+	s.count()
+	d.usable += s.usable
+	d.free += s.free
+	d.busy[s.busyLevel] += s.busy
+	for _, f := range d.shelves {
+		f.place(s, s.free > 0 && s.fits(f.demand))
+	}
+}
+
+// count brings what s adds to the sums up to date.
+func (s *server) count() {
+	limit := s.limit()
+	s.free = max(0, limit-s.occupied())
+	s.usable = max(0, limit-s.foreign)
+	s.busy = 0
+	if limit > 0 {
+		s.busy = s.running
+	}
+	s.busyLevel = s.level
+}
+
+// report takes in what the server says of its tasks. Those beyond the known
+// ones are held against it once two reports in a row name them, since a report
+// may be older than the end of other tasks.
+func (s *server) report(now time.Time, o Outcome) {
+	if !o.Reported {
+		return
+	}
+	more := max(0, o.Running+o.Waiting-s.running-s.foreign)
+	s.excess = min(more, s.reported)
+	s.reported = more
+	s.excessUntil = now.Add(excessFor)
+}
--- /dev/null
+++ b/backend/holding_test.go
@@ -0,0 +1,249 @@
+package backend_test
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// begin is an arbitrary instant at which the tests begin.
+var begin = time.Unix(1_000_000, 0)
+
+// servers returns n backend servers with the given slots.
+func servers(n, slots int) []operator.Server {
+	rows := make([]operator.Server, n)
+	for i := range rows {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 8000)
+		rows[i] = operator.Server{Address: address, Slots: slots, Cores: 16, MemoryMiB: 64 << 10}
+	}
+	return rows
+}
+
+func newHolding(t testing.TB) *backend.Holding[int] {
+	h, err := backend.NewHolding[int](backend.HoldingConfig{Pool: "editing"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func ExampleHolding() {
+	now := time.Unix(0, 0)
+	h, err := backend.NewHolding[string](backend.HoldingConfig{Pool: "editing"})
+	if err != nil {
+		panic(err)
+	}
+	h.SetRoutes([]operator.Route{{Name: "preview", Pool: "editing", Urgency: 90, Share: 10}})
+	h.SetServers(now, []operator.Server{{Address: netip.MustParseAddrPort("127.0.0.1:8000"), Slots: 1}})
+	h.Push(now, backend.Task[string]{ID: "first", Route: "preview"})
+	h.Push(now, backend.Task[string]{ID: "second", Route: "preview"})
+	start, ok := h.Next(now)
+	fmt.Println(start.ID, start.Server, ok)
+	_, ok = h.Next(now)
+	fmt.Println(ok)
+	h.Done(now.Add(time.Second), start.ID, backend.Outcome{Kind: backend.Done})
+	start, ok = h.Next(now.Add(time.Second))
+	fmt.Println(start.ID, ok)
+	// Output:
+	// first 127.0.0.1:8000 true
+	// false
+	// second true
+}
+
+// model is what the conservation property knows of a Holding's tasks.
+type model struct {
+	h        *backend.Holding[int]
+	now      time.Time
+	held     []operator.Server
+	slots    map[netip.AddrPort]int
+	waiting  map[int]time.Time
+	started  map[int]backend.Start[int]
+	running  map[netip.AddrPort]int
+	leaving  map[netip.AddrPort]bool
+	lastTask int
+}
+
+// TestConservation checks that each pushed task is exactly one of waiting,
+// running, removed, overdue and done, and that no server runs more tasks than
+// it has slots and cores for.
+func TestConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, err := backend.NewHolding[int](backend.HoldingConfig{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &model{
+			h:       h,
+			now:     begin,
+			slots:   map[netip.AddrPort]int{},
+			waiting: map[int]time.Time{},
+			started: map[int]backend.Start[int]{},
+			running: map[netip.AddrPort]int{},
+			leaving: map[netip.AddrPort]bool{},
+		}
+		h.SetRoutes([]operator.Route{
+			{Name: "a", Share: 3, Urgency: 9, Cores: 4},
+			{Name: "b", Share: 1, Urgency: 1, MemoryMiB: 30 << 10},
+		})
+		m.setServers(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"push":    m.push,
+			"remove":  m.remove,
+			"next":    m.next,
+			"done":    m.done,
+			"overdue": m.overdue,
+			"servers": m.setServers,
+			"leaving": m.setLeaving,
+		})
+	})
+}
+
+func (m *model) check(t *rapid.T) {
+	queued := 0
+	for _, q := range m.h.Load().Queued {
+		queued += q.Queued
+	}
+	// A task found overdue by Next is no longer queued, but not yet reported.
+	if queued > len(m.waiting) {
+		t.Fatalf("%d queued, want at most %d", queued, len(m.waiting))
+	}
+	for addr, n := range m.running {
+		if m.h.Running(addr) != n {
+			t.Fatalf("%d tasks run on %v, want %d", m.h.Running(addr), addr, n)
+		}
+	}
+	if l := m.h.Load(); l.Free < 0 || l.Free > l.Slots {
+		t.Fatalf("load %+v", l)
+	}
+}
+
+func (m *model) push(t *rapid.T) {
+	for range rapid.IntRange(1, 50).Draw(t, "tasks") {
+		m.lastTask++
+		task := backend.Task[int]{ID: m.lastTask, Route: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "route")}
+		task.Arrived = m.now.Add(-time.Duration(rapid.IntRange(0, 3).Draw(t, "age")) * time.Second)
+		if rapid.Bool().Draw(t, "has deadline") {
+			task.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+		}
+		m.h.Push(m.now, task)
+		m.waiting[task.ID] = task.Deadline
+	}
+}
+
+func (m *model) remove(t *rapid.T) {
+	if m.lastTask == 0 {
+		return
+	}
+	id := rapid.IntRange(1, m.lastTask).Draw(t, "id")
+	_, want := m.waiting[id]
+	if got := m.h.Remove(id); got != want {
+		t.Fatalf("removed task %d: %v, want %v", id, got, want)
+	}
+	delete(m.waiting, id)
+}
+
+func (m *model) next(t *rapid.T) {
+	for {
+		s, ok := m.h.Next(m.now)
+		if !ok {
+			return
+		}
+		deadline, known := m.waiting[s.ID]
+		if !known {
+			t.Fatalf("started task %d, which does not wait", s.ID)
+		}
+		if !deadline.IsZero() && !m.now.Before(deadline) {
+			t.Fatalf("started task %d after its deadline", s.ID)
+		}
+		if m.leaving[s.Server] {
+			t.Fatalf("started task %d on %v, which is leaving", s.ID, s.Server)
+		}
+		delete(m.waiting, s.ID)
+		m.started[s.ID] = s
+		m.running[s.Server]++
+		m.checkServer(t, s.Server)
+	}
+}
+
+func (m *model) checkServer(t *rapid.T, addr netip.AddrPort) {
+	if m.running[addr] > m.slots[addr] {
+		t.Fatalf("%d tasks on %d slots of %v", m.running[addr], m.slots[addr], addr)
+	}
+	cores, memory := 0, 0
+	for _, s := range m.started {
+		if s.Server == addr && s.Route == "a" {
+			cores += 4
+		}
+		if s.Server == addr && s.Route == "b" {
+			memory += 30 << 10
+		}
+	}
+	if cores > 16 || memory > 64<<10 {
+		t.Fatalf("%d cores and %d MiB used on %v", cores, memory, addr)
+	}
+}
+
+func (m *model) done(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(m.started)) {
+		s := m.started[id]
+		if rapid.Bool().Draw(t, "runs on") {
+			continue
+		}
+		kind := rapid.SampledFrom([]backend.OutcomeKind{backend.Done, backend.Failed, backend.NotStarted, backend.Lost}).Draw(t, "kind")
+		m.h.Done(m.now, id, backend.Outcome{Kind: kind, Waiting: rapid.IntRange(0, 2).Draw(t, "waiting")})
+		delete(m.started, id)
+		m.running[s.Server]--
+	}
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *model) overdue(t *rapid.T) {
+	for _, id := range m.h.Overdue(m.now) {
+		if deadline, known := m.waiting[id]; !known || deadline.IsZero() {
+			t.Fatalf("task %d is overdue, but does not wait with a deadline", id)
+		}
+		delete(m.waiting, id)
+	}
+	for id, deadline := range m.waiting {
+		if !deadline.IsZero() && !m.now.Before(deadline) {
+			t.Fatalf("task %d is overdue, but not reported", id)
+		}
+	}
+	queued := 0
+	for _, q := range m.h.Load().Queued {
+		queued += q.Queued
+	}
+	if queued != len(m.waiting) {
+		t.Fatalf("%d queued, want %d", queued, len(m.waiting))
+	}
+}
+
+func (m *model) setServers(t *rapid.T) {
+	all := servers(6, rapid.IntRange(0, 8).Draw(t, "slots"))
+	from := rapid.IntRange(0, 5).Draw(t, "from")
+	m.held = all[from:rapid.IntRange(from, 6).Draw(t, "to")]
+	m.h.SetServers(m.now, m.held)
+	clear(m.slots)
+	for _, s := range m.held {
+		m.slots[s.Address] = s.Slots
+	}
+}
+
+func (m *model) setLeaving(t *rapid.T) {
+	if len(m.held) == 0 {
+		return
+	}
+	s := rapid.SampledFrom(m.held).Draw(t, "server")
+	leaving := rapid.Bool().Draw(t, "leaving")
+	m.h.SetLeaving(m.now, s.Address, leaving)
+	m.leaving[s.Address] = leaving
+}
--- /dev/null
+++ b/backend/queue.go
@@ -0,0 +1,92 @@
+package backend
+
+import (
+	"slices"
+	"time"
+)
+
+// slack is the number of stale entries that are kept at least.
+const slack = 64
+
+// A queue holds the waiting tasks of a route in the order of their arrival. A
+// task that stops waiting leaves a stale entry, which is dropped later.
+type queue struct {
+	entries []timer
+	// head is the position of the first entry that may be waiting.
+	head int
+	// length is the number of waiting tasks.
+	length int
+}
+
+// push adds a waiting task. Its cost is constant when tasks come in the order
+// of their arrival.
+func (q *queue) push(s *slab, arrived time.Duration, h handle) {
+	q.compact(s)
+	q.length++
+	added := timer{at: arrived, task: h}
+	last := len(q.entries) - 1
+	if last < q.head || q.entries[last].at <= arrived {
+		q.entries = append(q.entries, added)
+		return
+	}
+	i, _ := slices.BinarySearchFunc(q.entries[q.head:], arrived, afterOrAt)
+	q.entries = slices.Insert(q.entries, q.head+i, added)
+}
+
+// afterOrAt orders an entry against an arrival so that entries of the same
+// arrival stay in front.
+func afterOrAt(e timer, arrived time.Duration) int {
+	if e.at > arrived {
+		return 1
+	}
+	return -1
+}
+
+// first returns the waiting task that arrived first.
+func (q *queue) first(s *slab) (handle, bool) {
+	for q.head < len(q.entries) {
+		if s.get(q.entries[q.head].task, waiting) != nil {
+			return q.entries[q.head].task, true
+		}
+		q.head++
+	}
+	return handle{}, false
+}
+
+// nth returns a waiting task with about n others in front of it.
+func (q *queue) nth(s *slab, n int) (handle, bool) {
+	if _, ok := q.first(s); !ok || q.length == 0 {
+		return handle{}, false
+	}
+	i := q.head + n*(len(q.entries)-q.head)/q.length
+	for j := i; j < len(q.entries); j++ {
+		if s.get(q.entries[j].task, waiting) != nil {
+			return q.entries[j].task, true
+		}
+	}
+	for j := min(i, len(q.entries)) - 1; j >= q.head; j-- {
+		if s.get(q.entries[j].task, waiting) != nil {
+			return q.entries[j].task, true
+		}
+	}
+	return handle{}, false
+}
+
+// compact drops the stale entries when most are stale.
+func (q *queue) compact(s *slab) {
+	if len(q.entries) > 2*q.length+slack {
+		q.sweep(s)
+	}
+}
+
+// sweep drops the stale entries.
+func (q *queue) sweep(s *slab) {
+	live := q.entries[:0]
+	for _, e := range q.entries[q.head:] {
+		if s.get(e.task, waiting) != nil {
+			live = append(live, e)
+		}
+	}
+	q.entries = live
+	q.head = 0
+}
--- /dev/null
+++ b/backend/route.go
@@ -0,0 +1,109 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// owedTasks is the number of mean run times of a slot that a route can be owed
+// at most.
+const owedTasks = 4
+
+// A route is a row of the routes table with its tasks at this holder.
+type route struct {
+	row operator.Route
+	// listed says that the row stands in the tables.
+	listed  bool
+	queue   queue
+	running int
+	work    work
+	// demand is what a task of the route takes from a server.
+	demand demand
+	// class is the position of demand in the dispatcher's shelves.
+	class int
+	// owed is the service in slot seconds that the route had less than its
+	// guarantee while tasks waited.
+	owed float64
+	// owedAt is when owed was last brought up to date.
+	owedAt time.Time
+	// tried is the number of the last decision that found no server.
+	tried uint64
+}
+
+// demand is what a task declares.
+type demand struct {
+	milliCores int64
+	memoryMiB  int64
+}
+
+func demandOf(row operator.Route) demand {
+	return demand{
+		milliCores: int64(row.Cores * 1000),
+		memoryMiB:  int64(row.MemoryMiB),
+	}
+}
+
+// An entitlement orders routes: a lower one goes first.
+type entitlement uint8
+
+const (
+	// guaranteed is a route with a whole guaranteed slot unused, or that is
+	// owed a task's run time.
+	guaranteed entitlement = iota
+	// fractional is a route with a part of a guaranteed slot unused.
+	fractional
+	// lent is a route that has its guarantee.
+	lent
+)
+
+// entitlement returns the claim of r to a next slot when it is guaranteed the
+// given number of slots.
+func (r *route) entitlement(guarantee float64) entitlement {
+	have := float64(r.running)
+	switch {
+	case have+1 <= guarantee:
+		return guaranteed
+	case have >= guarantee:
+		return lent
+	case r.work.known() && r.owed >= r.work.mean:
+		return guaranteed
+	default:
+		return fractional
+	}
+}
+
+// account brings owed up to now.
+func (r *route) account(now time.Time, guarantee float64) {
+	elapsed := now.Sub(r.owedAt).Seconds()
+	r.owedAt = now
+	if elapsed <= 0 {
+		return
+	}
+	short := guarantee - float64(r.running)
+	if r.queue.length == 0 && short > 0 {
+		return
+	}
+	limit := owedTasks * r.work.mean
+	r.owed = min(max(r.owed+short*elapsed, 0), limit)
+}
+
+// before reports whether a goes before b, which both have tasks waiting and
+// are guaranteed the given numbers of slots.
+func before(a, b *route, slotsA, slotsB float64) bool {
+	claimA, claimB := a.entitlement(slotsA), b.entitlement(slotsB)
+	if claimA != claimB {
+		return claimA < claimB
+	}
+	if claimA != lent && a.row.Urgency != b.row.Urgency {
+		return a.row.Urgency > b.row.Urgency
+	}
+	useA, useB := float64(a.running)*slotsB, float64(b.running)*slotsA
+	if useA != useB {
+		return useA < useB
+	}
+	if a.row.Urgency != b.row.Urgency {
+		return a.row.Urgency > b.row.Urgency
+	}
+	return a.row.Name < b.row.Name
+}
--- /dev/null
+++ b/backend/timers.go
@@ -0,0 +1,87 @@
+package backend
+
+import "time"
+
+// A timer is an instant at which a task is looked at.
+type timer struct {
+	at   time.Duration
+	task handle
+}
+
+// timers is a heap of timers of tasks in one state, the earliest first. A task
+// that leaves the state leaves a stale timer, which is dropped later.
+type timers struct {
+	heap  []timer
+	state taskState
+}
+
+// push adds a timer. Live is the number of timers that are not stale.
+func (t *timers) push(s *slab, live int, added timer) {
+	if len(t.heap) > 2*live+slack {
+		t.sweep(s)
+	}
+	t.heap = append(t.heap, added)
+	t.up(len(t.heap) - 1)
+}
+
+// pop removes the earliest timer that is at or before the instant and not
+// stale, and returns its task.
+func (t *timers) pop(s *slab, instant time.Duration) (handle, bool) {
+	for len(t.heap) > 0 && t.heap[0].at <= instant {
+		h := t.heap[0].task
+		t.removeFirst()
+		if s.get(h, t.state) != nil {
+			return h, true
+		}
+	}
+	return handle{}, false
+}
+
+// sweep drops the stale timers.
+func (t *timers) sweep(s *slab) {
+	live := t.heap[:0]
+	for _, e := range t.heap {
+		if s.get(e.task, t.state) != nil {
+			live = append(live, e)
+		}
+	}
+	t.heap = live
+	for i := len(live)/2 - 1; i >= 0; i-- {
+		t.down(i)
+	}
+}
+
+func (t *timers) removeFirst() {
+	last := len(t.heap) - 1
+	t.heap[0] = t.heap[last]
+	t.heap = t.heap[:last]
+	t.down(0)
+}
+
+func (t *timers) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if t.heap[parent].at <= t.heap[i].at {
+			return
+		}
+		t.heap[parent], t.heap[i] = t.heap[i], t.heap[parent]
+		i = parent
+	}
+}
+
+func (t *timers) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(t.heap) {
+			return
+		}
+		if child+1 < len(t.heap) && t.heap[child+1].at < t.heap[child].at {
+			child++
+		}
+		if t.heap[i].at <= t.heap[child].at {
+			return
+		}
+		t.heap[i], t.heap[child] = t.heap[child], t.heap[i]
+		i = child
+	}
+}
--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,72 @@
+package chart_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/chart"
+)
+
+const door = `
+[[transitions]]
+from = "closed"
+event = "open"
+to = "opened"
+
+[[transitions]]
+from = "opened"
+event = "close"
+to = "closed"
+`
+
+func ExampleChart() {
+	c, err := chart.Parse([]byte(door))
+	if err != nil {
+		panic(err)
+	}
+	open, _ := c.Event("open")
+	var state chart.State
+	state, moved := c.Next(state, open)
+	fmt.Println(c.Name(state), moved)
+	state, moved = c.Next(state, open)
+	fmt.Println(c.Name(state), moved)
+	fmt.Print(c.Mermaid())
+	// Output:
+	// opened true
+	// opened false
+	// stateDiagram-v2
+	//     [*] --> closed
+	//     closed --> opened : open
+	//     opened --> closed : close
+}
+
+func TestParseRefuses(t *testing.T) {
+	again := "[[transitions]]\nfrom = \"closed\"\nevent = \"open\"\nto = \"closed\"\n"
+	for name, text := range map[string]string{
+		"empty":       "",
+		"unnamed":     "[[transitions]]\nfrom = \"a\"\nevent = \"b\"\n",
+		"two targets": door + again,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := chart.Parse([]byte(text))
+			var bad *chart.TransitionError
+			is.True(errors.As(err, &bad))
+		})
+	}
+}
+
+func TestUnknownName(t *testing.T) {
+	is := is.New(t)
+	c, err := chart.Parse([]byte(door))
+	is.NoErr(err)
+	_, err = c.State("ajar")
+	var missing *chart.NameError
+	is.True(errors.As(err, &missing))
+	is.Equal(missing.Name, "ajar")
+	_, moved := c.Next(chart.State(9), chart.Event(0))
+	is.True(!moved)
+}
