operator: check tables and fold the log into one configuration

Cause: every instance must give each edit the same verdict from a log that has no compare-and-append, expires records, and carries copies and races. Ruled out: an agreed writer (no second coordination service); deciding by time (clocks differ).

--- /dev/null
+++ b/operator/history_test.go
@@ -0,0 +1,118 @@
+package operator_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+func ExampleHistory() {
+	history := operator.NewHistory()
+	for i, edit := range []operator.Edit{newEdit(1, 0, 1), newEdit(2, 0, 2), newEdit(3, 1, 3)} {
+		verdict, err := history.Apply(uint64(i+1), mustEncode(edit))
+		fmt.Println(verdict.Outcome, verdict.Reason, verdict.Revision, verdict.RevisionAuthor, err)
+	}
+	// Output:
+	// accepted  1 author-1 <nil>
+	// refused stale-base 1 author-1 <nil>
+	// accepted  2 author-3 <nil>
+}
+
+// apply applies the next record and returns its verdict.
+func apply(is *is.I, h *operator.History, body []byte) operator.Verdict {
+	is.Helper()
+	v, err := h.Apply(h.Offset()+1, body)
+	is.NoErr(err)
+	return v
+}
+
+func TestHistoryRefusesWithoutEffect(t *testing.T) {
+	invalid := newEdit(9, 1, 0) // A share of 0 is out of range.
+	future := newEdit(9, 2, 2)
+	reused := newEdit(1, 1, 7)
+	good := string(mustEncode(newEdit(9, 1, 2)))
+	replace := func(old, with string) []byte {
+		return bytes.ReplaceAll([]byte(good), []byte(old), []byte(with))
+	}
+	tests := []struct {
+		name string
+		body []byte
+		want operator.Reason
+	}{
+		{"invalid tables", mustEncode(invalid), operator.InvalidTables},
+		{"unknown base", mustEncode(future), operator.UnknownBase},
+		{"reused id", mustEncode(reused), operator.ReusedID},
+		{"empty", nil, operator.Malformed},
+		{"null", []byte("null"), operator.Malformed},
+		{"other kind", []byte(`{"kind":"other"}`), operator.Malformed},
+		{"no author", replace("author-9", ""), operator.Malformed},
+		{"unknown key", replace(`"base"`, `"bass"`), operator.Malformed},
+		{"trailing data", []byte(good + "{}"), operator.Malformed},
+		{"truncated", []byte(good[:len(good)-1]), operator.Malformed},
+		{"year 10000", replace("2026-12-04T09:00:09Z", "9999-12-31T23:59:59-01:00"), operator.Malformed},
+		{"too large", bytes.Repeat([]byte(" "), operator.MaxSnapshotBytes+1), operator.Malformed},
+		{"malformed snapshot", []byte(`{"kind":"snapshot","state":{"offset":1,"revision":1}}`), operator.Malformed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			h := operator.NewHistory()
+			is.Equal(apply(is, h, mustEncode(newEdit(1, 0, 1))).Outcome, operator.Accepted)
+			v := apply(is, h, test.body)
+			is.Equal(v.Outcome, operator.Refused)
+			is.Equal(v.Reason, test.want)
+			is.Equal(v.Revision, uint64(1))
+			is.Equal(h.Tables(), newTables(1))
+			is.Equal(apply(is, h, mustEncode(newEdit(2, 1, 3))).Revision, uint64(2)) // The reader goes on.
+		})
+	}
+}
+
+func TestHistoryNeedsNextRecord(t *testing.T) {
+	is := is.New(t)
+	h := operator.NewHistory()
+	_, err := h.Apply(2, mustEncode(newEdit(1, 0, 1)))
+	var offset *operator.OffsetError
+	is.True(errors.As(err, &offset))
+	is.Equal(*offset, operator.OffsetError{Offset: 2, Want: 1})
+	is.Equal(h.Revision(), uint64(0))
+}
+
+// TestHistoryForgetsOldEdits shows the consequence of MaxRecentEdits: a late
+// copy of a forgotten edit is refused, and has no effect.
+func TestHistoryForgetsOldEdits(t *testing.T) {
+	is := is.New(t)
+	h := operator.NewHistory()
+	for i := range operator.MaxRecentEdits {
+		apply(is, h, mustEncode(newEdit(i, uint64(i), i%100+1)))
+	}
+	first := mustEncode(newEdit(0, 0, 1))
+	is.Equal(apply(is, h, first).Outcome, operator.Accepted)
+	is.Equal(h.Revision(), uint64(operator.MaxRecentEdits))
+
+	apply(is, h, mustEncode(newEdit(operator.MaxRecentEdits, operator.MaxRecentEdits, 1)))
+	v := apply(is, h, first)
+	is.Equal(v.Reason, operator.StaleBase)
+	is.Equal(h.Revision(), uint64(operator.MaxRecentEdits+1))
+	is.Equal(len(h.Recent()), operator.MaxRecentEdits)
+}
+
+func TestHistoryCountsMismatch(t *testing.T) {
+	is := is.New(t)
+	other := operator.NewHistory()
+	apply(is, other, mustEncode(newEdit(5, 0, 5)))
+	h := operator.NewHistory()
+	apply(is, h, mustEncode(newEdit(1, 0, 1)))
+	v := apply(is, h, other.Snapshot())
+	is.True(v.Mismatch)
+	is.Equal(h.Mismatches(), uint64(1))
+	is.Equal(h.Author(), "author-1") // The history keeps its own.
+	v = apply(is, h, h.Snapshot())
+	is.True(!v.Mismatch)
+	is.Equal(v.SnapshotOffset, uint64(2))
+}
--- /dev/null
+++ b/operator/main_test.go
@@ -0,0 +1,60 @@
+package operator_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// TestMain fixes the seed of random schedules unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// newTables returns tables that differ in the share of their one route.
+func newTables(share int) *operator.Tables {
+	return &operator.Tables{
+		Routes: []operator.Route{{
+			Name: "previews", Pool: "editing", Urgency: 90, Share: share, Timeout: 5 * time.Second, Cores: 0.5,
+		}},
+		Pools: []operator.Pool{{Name: "editing", Servers: []operator.Server{{
+			Address: netip.MustParseAddrPort("127.0.0.1:7000"), Zone: "hr-north-a", Rack: "rack-1",
+			Slots: 8, Connections: 64, Cores: 16, MemoryMiB: 65536,
+		}}}},
+	}
+}
+
+// newID returns the n-th of a row of IDs.
+func newID(n int) uuid.UUID {
+	return uuid.NewSHA1(uuid.NameSpaceOID, fmt.Append(nil, n))
+}
+
+// newEdit returns an edit with the n-th ID.
+func newEdit(n int, base uint64, share int) operator.Edit {
+	return operator.Edit{
+		ID: newID(n), Author: fmt.Sprintf("author-%d", n), Base: base,
+		At: time.Date(2026, 12, 4, 9, 0, n, 0, time.UTC), Tables: newTables(share),
+	}
+}
+
+// mustEncode returns the record of an edit.
+func mustEncode(e operator.Edit) []byte {
+	body, err := e.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
--- /dev/null
+++ b/operator/record.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"encoding/json"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// Stream names the log's stream that holds the configuration's records.
+const Stream = "configuration"
+
+// Limits of the log's records.
+const (
+	// MaxEditBytes is the largest size of an edit's record in bytes.
+	MaxEditBytes = 1 << 20
+	// MaxSnapshotBytes is the largest size of a snapshot's record in bytes.
+	MaxSnapshotBytes = 2 << 20
+	// MaxAuthorBytes is the largest length of an author's name in bytes.
+	MaxAuthorBytes = 64
+)
+
+// The kinds of record.
+const (
+	editKind     = "edit"
+	snapshotKind = "snapshot"
+)
+
+// An Edit is a whole new configuration that an operator publishes.
+type Edit struct {
+	// ID identifies the edit: copies of one edit have one ID.
+	ID uuid.UUID
+	// Author says who publishes the edit.
+	Author string
+	// Base is the revision that the edit was made from.
+	Base uint64
+	// At is the author's time of publishing. It decides nothing.
+	At time.Time
+	// Tables is the new configuration.
+	Tables *Tables
+}
+
+// editRecord is the form of an edit in the log.
+type editRecord struct {
+	Kind   string          `json:"kind"`
+	ID     uuid.UUID       `json:"id"`
+	Author string          `json:"author"`
+	Base   uint64          `json:"base"`
+	At     time.Time       `json:"at"`
+	Tables json.RawMessage `json:"tables"`
+}
+
+// Encode returns the edit's record for the log. It returns a *RecordError if
+// the edit's ID, author or time is not usable, or if the record is too large.
+func (e Edit) Encode() ([]byte, error) {
+	tables, err := e.Tables.Encode()
+	if err != nil {
+		return nil, err
+	}
+	record := editRecord{
+		Kind:   editKind,
+		ID:     e.ID,
+		Author: e.Author,
+		Base:   e.Base,
+		At:     e.At.UTC(),
+		Tables: tables,
+	}
+	if err := record.check(); err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(record)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxEditBytes {
+		return nil, &RecordError{Reason: "too large"}
+	}
+	return body, nil
+}
+
+// A RecordError reports a record that cannot be used.
+type RecordError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *RecordError) Error() string {
+	return "record not usable: " + e.Reason
+}
+
+// recordKind returns the kind that a record says it is of.
+func recordKind(body []byte) (string, error) {
+	var head struct {
+		Kind string `json:"kind"`
+	}
+	if err := json.Unmarshal(body, &head); err != nil {
+		return "", err
+	}
+	return head.Kind, nil
+}
+
+// decodeEdit returns an edit's record whose tables are not checked.
+func decodeEdit(body []byte) (editRecord, error) {
+	var record editRecord
+	if len(body) > MaxEditBytes {
+		return record, &RecordError{Reason: "too large"}
+	}
+	if err := decodeStrict(body, &record); err != nil {
+		return record, err
+	}
+	record.At = record.At.UTC()
+	return record, record.check()
+}
+
+func (r editRecord) check() error {
+	if r.ID == uuid.Nil {
+		return &RecordError{Reason: "no edit id"}
+	}
+	if reason := checkAuthor(r.Author); reason != "" {
+		return &RecordError{Reason: reason}
+	}
+	if _, err := r.At.MarshalJSON(); err != nil {
+		return errors.Wrap(err, "time")
+	}
+	return nil
+}
+
+// checkAuthor returns what is wrong with an author's name, or nothing.
+func checkAuthor(author string) string {
+	if author == "" {
+		return "no author"
+	}
+	if len(author) > MaxAuthorBytes {
+		return "author too long"
+	}
+	if !utf8.ValidString(author) {
+		return "author not in UTF-8"
+	}
+	for _, r := range author {
+		if !unicode.IsPrint(r) {
+			return "author not printable"
+		}
+	}
+	return ""
+}
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -29,11 +29,14 @@
 	// Idempotent says that running a task twice does no harm. A task is
 	// nevertheless never started twice under one key.
 	Idempotent bool
-	// Timeout bounds a job's time from its arrival to its answer.
+	// Timeout bounds a job's time from its arrival to its answer. It is in
+	// [1ms, MaxTimeout].
 	Timeout time.Duration
-	// Cores is the declared number of cores that a task uses.
+	// Cores is the declared number of cores that a task uses. It is in
+	// [0, MaxCores]; 0 declares nothing.
 	Cores float64
-	// MemoryMiB is the declared memory that a task uses, in MiB.
+	// MemoryMiB is the declared memory that a task uses, in MiB. It is in
+	// [0, MaxMemoryMiB]; 0 declares nothing.
 	MemoryMiB int
 }
 
@@ -53,13 +56,16 @@
 	Zone string
 	// Rack names the server's rack.
 	Rack string
-	// Slots is the number of tasks that the server runs at once.
+	// Slots is the number of tasks that the server runs at once. It is in
+	// [1, MaxSlots].
 	Slots int
-	// Connections is the number of connections that the server accepts.
+	// Connections is the number of connections that the server accepts. It
+	// is in [1, MaxConnections].
 	Connections int
-	// Cores is the number of the server's processor cores.
+	// Cores is the number of the server's processor cores. It is in
+	// [1, MaxCores].
 	Cores int
-	// MemoryMiB is the server's memory in MiB.
+	// MemoryMiB is the server's memory in MiB. It is in [1, MaxMemoryMiB].
 	MemoryMiB int
 }
 
