--- /dev/null
+++ b/operator/publish_test.go
@@ -0,0 +1,154 @@
+package operator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+var errDown = errors.New("log down")
+
+// fakeLog is a log in memory.
+type fakeLog struct {
+	world
+	// appends and reads count down the calls that still succeed; a negative
+	// number is without end.
+	appends, reads int
+	// lost says that a failing append takes effect.
+	lost bool
+	// before is called before each append.
+	before func()
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{world: *newWorld(0), appends: -1, reads: -1, before: func() {}}
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, body []byte) (uint64, error) {
+	l.before()
+	failed := l.appends == 0
+	if !failed || l.lost {
+		l.records = append(l.records, sent{body: body})
+	}
+	if failed {
+		return 0, errDown
+	}
+	l.appends--
+	return uint64(len(l.records)), nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, _ time.Duration, limit int) (operator.Page, error) {
+	if l.reads == 0 {
+		return operator.Page{}, errDown
+	}
+	l.reads--
+	return l.page(from, limit), nil
+}
+
+func TestPublish(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	ctx := context.Background()
+	v, err := operator.Publish(ctx, log, newEdit(1, 0, 1))
+	is.NoErr(err)
+	is.Equal(v.Outcome, operator.Accepted)
+	is.Equal(v.Revision, uint64(1))
+
+	v, err = operator.Publish(ctx, log, newEdit(2, 0, 2))
+	is.NoErr(err)
+	is.Equal(v.Reason, operator.StaleBase)
+	is.Equal(v.RevisionAuthor, "author-1")
+
+	// Another edit gets into the log between the read and the append.
+	log.before = func() {
+		log.before = func() {}
+		log.records = append(log.records, sent{body: mustEncode(newEdit(3, 1, 3))})
+	}
+	v, err = operator.Publish(ctx, log, newEdit(4, 1, 4))
+	is.NoErr(err)
+	is.Equal(v.Reason, operator.StaleBase)
+	is.Equal(v.RevisionAuthor, "author-3")
+
+	_, err = operator.Publish(ctx, log, operator.Edit{Tables: newTables(1)})
+	var record *operator.RecordError
+	is.True(errors.As(err, &record))
+}
+
+// TestPublishFaults publishes with every fault at every step, and then again
+// with the same ID until the outcome is known.
+func TestPublishFaults(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		appends, reads int
+		lost, unknown  bool
+	}{
+		{"down", 0, 0, false, true},
+		{"down after read", 0, -1, false, true},
+		{"answer lost", 0, -1, true, false},
+		{"answer lost, then down", 0, 1, true, true},
+		{"down after append", 1, 1, false, true},
+		{"up", -1, -1, false, false},
+	} {
+		for _, stale := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				is := is.New(t)
+				log := newFakeLog()
+				want := uint64(1)
+				if stale {
+					log.records = append(log.records, sent{body: mustEncode(newEdit(0, 0, 9))})
+				}
+				edit := newEdit(1, 0, 1)
+				log.appends, log.reads, log.lost = test.appends, test.reads, test.lost
+				if stale && log.reads > 0 {
+					log.reads++ // One page more to read before the append.
+				}
+				_, err := operator.Publish(context.Background(), log, edit)
+				var unknown *operator.UnknownError
+				is.Equal(errors.As(err, &unknown), test.unknown)
+				if test.unknown {
+					is.Equal(unknown.EditID, edit.ID)
+				}
+
+				log.appends, log.reads = -1, -1
+				v, err := operator.Publish(context.Background(), log, edit)
+				is.NoErr(err)
+				is.Equal(v.Outcome == operator.Refused, stale)
+				is.Equal(v.Revision, want)
+				reader, _, err := operator.ReadAll(context.Background(), log)
+				is.NoErr(err)
+				is.Equal(reader.History().Revision(), want) // No second effect.
+			})
+		}
+	}
+}
+
+// TestPublishRepeatedAfterSnapshot repeats an edit whose record has expired.
+func TestPublishRepeatedAfterSnapshot(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	ctx := context.Background()
+	_, err := operator.Publish(ctx, log, newEdit(1, 0, 1))
+	is.NoErr(err)
+	reader, _, err := operator.ReadAll(ctx, log)
+	is.NoErr(err)
+	log.records = append(log.records, sent{body: reader.History().Snapshot()})
+	log.first = 2
+	v, err := operator.Publish(ctx, log, newEdit(1, 1, 1)) // Its base may be another now.
+	is.NoErr(err)
+	is.Equal(v.Outcome, operator.Accepted)
+	is.Equal(v.Revision, uint64(1))
+	is.Equal(len(log.records), 2) // It was not appended again.
+	v, err = operator.Publish(ctx, log, newEdit(1, 1, 2))
+	is.NoErr(err)
+	is.Equal(v.Reason, operator.ReusedID)
+
+	log.first = 3 // The snapshot expires too.
+	_, err = operator.Publish(ctx, log, newEdit(1, 1, 1))
+	var gap *operator.GapError
+	is.True(errors.As(err, &gap))
+}
