amaranthwell: add check, publish, show and audit

Cause: operators drive the system by editing tables only. Change: four subcommands with documented exit codes; the log over HTTP behind operator.Log, for the lead to replace in newLog.

--- /dev/null
+++ b/cmd/amaranthwell/audit.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// auditCommand shows the changes of the configuration.
+type auditCommand struct {
+	logOptions
+	Timeout time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"Time after which to give up"`
+	env     environment
+}
+
+// Execute runs the command.
+func (c *auditCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	reader, verdicts, err := operator.ReadAll(ctx, c.env.newLog(c.Log))
+	if err != nil {
+		return err
+	}
+	for _, v := range trail(reader.History().Recent(), verdicts) {
+		fmt.Fprintln(c.env.stdout, line(v))
+	}
+	if n := reader.History().Mismatches(); n > 0 {
+		fmt.Fprintf(c.env.stdout, "%d snapshots in the log differ from the edits before them\n", n)
+	}
+	return nil
+}
+
+// trail returns the verdicts that a snapshot remembers from before the records
+// that were read, and after them those of the records.
+func trail(remembered, read []operator.Verdict) []operator.Verdict {
+	var out []operator.Verdict
+	for _, v := range remembered {
+		if len(read) == 0 || v.Offset < recordOffset(read[0]) {
+			out = append(out, v)
+		}
+	}
+	for _, v := range read {
+		if v.Outcome != operator.Noted {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// recordOffset returns the offset of the record that v is about.
+func recordOffset(v operator.Verdict) uint64 {
+	return max(v.Offset, v.CopyOffset)
+}
+
+// line returns the audit trail's line of one verdict.
+func line(v operator.Verdict) string {
+	if v.Reason == operator.Malformed {
+		return fmt.Sprintf("offset %d: refused: %s: %s", v.Offset, v.Reason, v.Detail)
+	}
+	text := fmt.Sprintf("offset %d: %s by %s, edit %v, from revision %d: ",
+		recordOffset(v), v.At.Format(time.RFC3339), v.Author, v.EditID, v.Base)
+	if v.CopyOffset > 0 {
+		return text + fmt.Sprintf("copy of the edit at offset %d, which was %s", v.Offset, v.Outcome)
+	}
+	if v.Outcome == operator.Accepted {
+		return text + fmt.Sprintf("accepted as revision %d: %s", v.Revision, v.Changes)
+	}
+	text += fmt.Sprintf("refused: %s; revision %d by %s stays", v.Reason, v.Revision, v.RevisionAuthor)
+	if v.Detail != "" {
+		text += ": " + v.Detail
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/amaranthwell/main.go
@@ -0,0 +1,140 @@
+// Command amaranthwell is the operators' command: it checks the tables of
+// routes and pools, publishes them on the platform's log, and shows what is in
+// force and what was changed.
+//
+// Exit codes:
+//
+//	0  done; for publish, the edit was accepted
+//	1  the files are invalid, or the edit was refused
+//	2  the command line is wrong, or a file cannot be read
+//	3  unknown: the log gave no answer, or not all that is needed
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// version is the program's version; the linker may set it.
+var version = "devel"
+
+// The exit codes.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+const description = `Checks, publishes and shows the tables of routes and pools.
+
+Exit codes: 0 done or accepted; 1 invalid or refused; 2 wrong command line or unreadable file; 3 unknown, since the log gave no answer.`
+
+func main() {
+	env := environment{stdout: os.Stdout, stderr: os.Stderr, newLog: newLog}
+	os.Exit(run(os.Args[1:], env))
+}
+
+// environment is what the commands use of the world outside.
+type environment struct {
+	stdout, stderr io.Writer
+	newLog         func(url string) operator.Log
+}
+
+// logOptions are the options of commands that use the log.
+type logOptions struct {
+	Log string `long:"log" value-name:"URL" required:"true" description:"URL of the platform's log"`
+}
+
+// run executes one command line and returns its exit code.
+func run(args []string, env environment) int {
+	var options struct {
+		Version bool `long:"version" description:"Print the version and exit"`
+	}
+	parser := flags.NewNamedParser("amaranthwell", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	parser.SubcommandsOptional = true
+	parser.CommandHandler = execute
+	mustAdd(parser.AddGroup("Options", "", &options))
+	addCommands(parser, env)
+	_, err := parser.ParseArgs(args)
+	if err != nil {
+		return report(err, env)
+	}
+	if options.Version {
+		fmt.Fprintln(env.stdout, "amaranthwell", version)
+		return exitDone
+	}
+	if parser.Active == nil {
+		parser.WriteHelp(env.stderr)
+		return exitUsage
+	}
+	return exitDone
+}
+
+// execute runs command, if there is one. It refuses arguments left over.
+func execute(command flags.Commander, args []string) error {
+	if len(args) > 0 {
+		message := fmt.Sprintf("unknown command or argument %q", args[0])
+		return &flags.Error{Type: flags.ErrUnknownCommand, Message: message}
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(args)
+}
+
+func addCommands(parser *flags.Parser, env environment) {
+	mustAdd(parser.AddCommand("check", "Check tables",
+		"Checks TOML files of routes and pools as a whole and prints every fault.",
+		&checkCommand{env: env}))
+	mustAdd(parser.AddCommand("publish", "Publish tables",
+		"Checks TOML files and publishes them together as the new configuration. The edit's ID is printed first: a publication whose outcome is unknown can be repeated with it, and has no second effect.",
+		&publishCommand{env: env}))
+	mustAdd(parser.AddCommand("show", "Show the configuration in force",
+		"Reads the log and prints the current revision.",
+		&showCommand{env: env}))
+	mustAdd(parser.AddCommand("audit", "Show the changes of the configuration",
+		"Reads the log and prints each edit: its offset, who published it, from which revision, whether it was accepted, and what it changed or why it was refused.",
+		&auditCommand{env: env}))
+}
+
+// mustAdd panics if a command's options are declared wrong.
+func mustAdd[T any](_ T, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// report prints err and returns its exit code.
+func report(err error, env environment) int {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(env.stdout, usage.Message)
+		return exitDone
+	}
+	fmt.Fprintln(env.stderr, err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var file *fileError
+	var check *operator.CheckError
+	var record *operator.RecordError
+	var refused *refusedError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &file):
+		return exitUsage
+	case errors.As(err, &check), errors.As(err, &record), errors.As(err, &refused):
+		return exitRefused
+	default:
+		return exitUnknown
+	}
+}
--- /dev/null
+++ b/cmd/amaranthwell/publish.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+)
+
+// retryPause is the time between two attempts to publish.
+const retryPause = time.Second
+
+// publishCommand publishes tables.
+type publishCommand struct {
+	logOptions
+	Author    string        `long:"author" value-name:"NAME" required:"true" description:"Who publishes the edit"`
+	Base      *uint64       `long:"base" value-name:"REVISION" description:"Revision that the edit was made from; the current one of the log if left out"`
+	EditID    string        `long:"edit-id" value-name:"ID" description:"ID of an edit whose outcome is unknown, to repeat it; a new one if left out"`
+	Timeout   time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"Time after which an outcome is given up as unknown"`
+	Arguments fileArguments `positional-args:"true" required:"true"`
+	env       environment
+}
+
+// A refusedError reports an edit that was refused.
+type refusedError struct {
+	verdict operator.Verdict
+}
+
+// Error returns the reason and the current revision.
+func (e *refusedError) Error() string {
+	v := e.verdict
+	text := "refused: " + string(v.Reason)
+	if v.Detail != "" {
+		text += ": " + v.Detail
+	}
+	if v.Revision == 0 {
+		return text + "; there is no current revision"
+	}
+	return text + fmt.Sprintf("; the current revision is %d by %s", v.Revision, v.RevisionAuthor)
+}
+
+// Execute runs the command.
+func (c *publishCommand) Execute([]string) error {
+	id, err := c.editID()
+	if err != nil {
+		return err
+	}
+	tables, err := readTables(c.Arguments.Files)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.env.stdout, "edit-id: %v\n", id)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	edit := operator.Edit{ID: id, Author: c.Author, At: time.Now(), Tables: tables}
+	return c.publish(ctx, edit)
+}
+
+func (c *publishCommand) editID() (uuid.UUID, error) {
+	if c.EditID == "" {
+		return uuid.New(), nil
+	}
+	id, err := uuid.Parse(c.EditID)
+	if err != nil || id == uuid.Nil {
+		message := fmt.Sprintf("--edit-id %q is not an edit's ID", c.EditID)
+		return id, &flags.Error{Type: flags.ErrMarshal, Message: message}
+	}
+	return id, nil
+}
+
+// publish tries until the outcome is known or ctx ends.
+func (c *publishCommand) publish(ctx context.Context, edit operator.Edit) error {
+	log := c.env.newLog(c.Log)
+	for {
+		v, err := c.attempt(ctx, log, &edit)
+		if err == nil {
+			return c.result(v)
+		}
+		var unknown *operator.UnknownError
+		if !errors.As(err, &unknown) || !pause(ctx) {
+			return err
+		}
+		fmt.Fprintf(c.env.stderr, "trying again: %v\n", err)
+	}
+}
+
+// attempt publishes once. It settles the edit's base first.
+func (c *publishCommand) attempt(ctx context.Context, log operator.Log, edit *operator.Edit) (operator.Verdict, error) {
+	if c.Base == nil {
+		reader, _, err := operator.ReadAll(ctx, log)
+		if err != nil {
+			return operator.Verdict{}, &operator.UnknownError{EditID: edit.ID, Err: err}
+		}
+		base := reader.History().Revision()
+		c.Base = &base
+		fmt.Fprintf(c.env.stdout, "base: %d\n", base)
+	}
+	edit.Base = *c.Base
+	return operator.Publish(ctx, log, *edit)
+}
+
+// pause waits for retryPause and reports whether ctx goes on.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (c *publishCommand) result(v operator.Verdict) error {
+	if v.Outcome != operator.Accepted {
+		return &refusedError{verdict: v}
+	}
+	fmt.Fprintf(c.env.stdout, "accepted: revision %d at offset %d: %s\n", v.Revision, v.Offset, v.Changes)
+	return nil
+}
