--- /dev/null
+++ b/peer/link_test.go
@@ -0,0 +1,64 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type inbox struct {
+	envelopes chan *peer.Envelope
+	resets    chan netip.AddrPort
+}
+
+func newInbox() *inbox {
+	return &inbox{envelopes: make(chan *peer.Envelope, 100), resets: make(chan netip.AddrPort, 100)}
+}
+
+func (i *inbox) Deliver(env *peer.Envelope)    { i.envelopes <- env }
+func (i *inbox) LinkReset(addr netip.AddrPort) { i.resets <- addr }
+
+// serve listens at addr until the returned function is called.
+func serve(t *testing.T, addr string, to peer.Receiver) (netip.AddrPort, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.Listen(ctx, listener, to)
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String()), func() { cancel(); <-done }
+}
+
+func TestLinkTellsOfAStreamAfterABreak(t *testing.T) {
+	is := is.New(t)
+	to := newInbox()
+	addr, stop := serve(t, "127.0.0.1:0", to)
+	from := newInbox()
+	link := peer.NewLink(addr, from)
+	link.Send(&peer.Envelope{Sequence: 1})
+	is.Equal((<-to.envelopes).Sequence, uint64(1))
+	stop()
+	_, stop = serve(t, addr.String(), to)
+	defer stop()
+	// The link notices the break by itself and opens a stream again.
+	is.Equal(<-from.resets, addr)
+	link.Send(&peer.Envelope{Sequence: 2})
+	is.Equal((<-to.envelopes).Sequence, uint64(2))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link.Close(ctx)
+}
--- /dev/null
+++ b/peer/members_test.go
@@ -0,0 +1,150 @@
+package peer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+	"github.com/amaranthwell/amaranthwell/platform"
+)
+
+var (
+	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	self   = netip.MustParseAddrPort("127.0.2.1:7000")
+	second = netip.MustParseAddrPort("127.0.2.2:7000")
+	third  = netip.MustParseAddrPort("127.0.2.3:7000")
+)
+
+func newMembers(addr netip.AddrPort, incarnation uint64) *peer.Members {
+	return peer.NewMembers(peer.MembersConfig{Self: addr, Zone: "a", Incarnation: incarnation})
+}
+
+// send carries the next envelope of from's members to to's.
+func send(now time.Time, from, to *peer.Members, fromAddr, toAddr netip.AddrPort) (*peer.Envelope, peer.Hearing) {
+	env := &peer.Envelope{}
+	from.Stamp(now, toAddr, env)
+	return env, to.Hear(now, fromAddr, env)
+}
+
+func ExampleMembers() {
+	now := start
+	a := peer.NewMembers(peer.MembersConfig{Self: self, Zone: "a", Incarnation: 1})
+	b := peer.NewMembers(peer.MembersConfig{Self: second, Zone: "a", Incarnation: 2})
+	env := &peer.Envelope{}
+	b.Stamp(now, self, env)
+	a.Hear(now, second, env)
+	fmt.Println(a.Live(second))
+	a.Tick(now.Add(peer.DefaultSuspectAfter))
+	fmt.Println(a.Live(second))
+	// Output:
+	// true
+	// false
+}
+
+func TestEnvelopesCountOnceAndInOrder(t *testing.T) {
+	is := is.New(t)
+	a, b := newMembers(self, 1), newMembers(second, 2)
+	first, h := send(start, b, a, second, self)
+	is.True(h.Fresh)
+	is.True(!h.Gap)
+	is.True(!a.Hear(start, second, first).Fresh) // a duplicate
+	lost := &peer.Envelope{}
+	b.Stamp(start, self, lost)
+	_, h = send(start, b, a, second, self)
+	is.True(h.Fresh)
+	is.True(h.Gap)
+	is.True(!a.Hear(start, second, lost).Fresh) // overtaken
+}
+
+func TestAnEndedIncarnationIsHeardNoMore(t *testing.T) {
+	is := is.New(t)
+	a, old, next := newMembers(self, 1), newMembers(second, 2), newMembers(second, 3)
+	late := &peer.Envelope{}
+	send(start, old, a, second, self)
+	old.Stamp(start, self, late)
+	_, h := send(start, next, a, second, self)
+	is.True(h.Restarted)
+	is.True(a.Ended(second, 2))
+	is.True(!a.Ended(second, 3))
+	is.True(!a.Hear(start, second, late).Fresh)
+}
+
+func TestAForgottenPeerIsNotCurrent(t *testing.T) {
+	is := is.New(t)
+	a, b := newMembers(self, 1), newMembers(second, 2)
+	send(start, b, a, second, self)
+	send(start, a, b, self, second)
+	_, h := send(start, b, a, second, self)
+	is.True(h.Current)
+	later := start.Add(peer.DefaultForgetAfter)
+	is.Equal(a.Tick(later), []netip.AddrPort{second})
+	// What b sends now rests on what a has forgotten.
+	_, h = send(later, b, a, second, self)
+	is.True(!h.Current)
+	_, h = send(later, a, b, self, second)
+	is.True(h.Restarted)
+}
+
+func TestAListedPeerIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	a, b := newMembers(self, 1), newMembers(second, 2)
+	a.SetList(start, platform.List{Instances: []platform.Instance{
+		{Address: second, Kind: platform.EntryInstance, Zone: "a"},
+	}})
+	send(start, b, a, second, self)
+	later := start.Add(10 * peer.DefaultForgetAfter)
+	is.Equal(len(a.Tick(later)), 0)
+	is.True(!a.Live(second))
+	_, h := send(later, b, a, second, self)
+	is.True(h.Fresh)
+	is.True(a.Live(second))
+}
+
+func TestALeavingPeerGetsNoWorkUntilTheListTakesItBack(t *testing.T) {
+	is := is.New(t)
+	a, b := newMembers(self, 1), newMembers(second, 2)
+	send(start, b, a, second, self)
+	listed := platform.Instance{Address: second, Kind: platform.EntryInstance, Zone: "a", Leaving: true}
+	a.SetList(start, platform.List{Instances: []platform.Instance{listed}})
+	send(start, b, a, second, self)
+	is.True(!a.Live(second))
+	listed.Leaving = false
+	a.SetList(start, platform.List{Instances: []platform.Instance{listed}})
+	send(start, b, a, second, self)
+	is.True(a.Live(second))
+	b.SetLeaving()
+	send(start, b, a, second, self)
+	is.True(!a.Live(second))
+}
+
+func TestHolderIsOneOfTheZone(t *testing.T) {
+	is := is.New(t)
+	members := []*peer.Members{newMembers(self, 1), newMembers(second, 2), newMembers(third, 3)}
+	addrs := []netip.AddrPort{self, second, third}
+	for from := range members {
+		for to := range members {
+			if from != to {
+				send(start, members[from], members[to], addrs[from], addrs[to])
+			}
+		}
+	}
+	held := make(map[netip.AddrPort]int)
+	for n := range 60 {
+		server := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n)}), 9000)
+		holder, ok := members[0].Holder(server, "a")
+		is.True(ok)
+		for _, m := range members {
+			other, _ := m.Holder(server, "a")
+			is.Equal(other, holder)
+		}
+		held[holder]++
+		elsewhere, ok := members[0].Holder(server, "b")
+		is.True(ok) // a zone without instances is looked after by others
+		is.True(elsewhere.IsValid())
+	}
+	is.Equal(len(held), 3)
+}
--- /dev/null
+++ b/peer/spread_test.go
@@ -0,0 +1,65 @@
+package peer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+func anyHolder(netip.AddrPort) bool { return true }
+
+func ExampleSpread() {
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 0}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 8, Free: 1}, 0)
+	holder, ok := s.Pick("previews", anyHolder)
+	fmt.Println(holder, ok)
+	// Output: 127.0.2.2:7000 true
+}
+
+func TestSpreadFillsIdleSlotsThenShortQueues(t *testing.T) {
+	is := is.New(t)
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 3}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 40, Free: 5}, 0)
+	count := make(map[netip.AddrPort]int)
+	for {
+		holder, ok := s.Pick("previews", anyHolder)
+		if !ok {
+			break
+		}
+		count[holder]++
+		s.Given(holder, "previews", 1)
+	}
+	// A holder's queue grows to a quarter of its slots beyond what it was
+	// given, which here fills its idle slots first.
+	is.Equal(count[self], 3)
+	is.Equal(count[second], 10)
+}
+
+func TestSpreadCountsWhatAReportDoesNotShow(t *testing.T) {
+	is := is.New(t)
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 8, Free: 0}, 0)
+	s.Given(self, "previews", 5)
+	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 4) // made before 5 arrived
+	holder, _ := s.Pick("previews", anyHolder)
+	is.Equal(holder, second)
+	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 5)
+	holder, _ = s.Pick("previews", anyHolder)
+	is.Equal(holder, self)
+}
+
+func TestSpreadLeavesOutUnusableHolders(t *testing.T) {
+	is := is.New(t)
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 8}, 0)
+	_, ok := s.Pick("previews", func(netip.AddrPort) bool { return false })
+	is.True(!ok)
+}
