amaranthwell-load: read each entry process by itself

Cause: counts and processor time of an instance killed within a window made the sum of all instances fall. Change: a reading holds one entry a process; a process begun anew counts from its start. A version without a complete answer shows a dash, not 0.

--- a/cmd/amaranthwell-load/meter_test.go
+++ b/cmd/amaranthwell-load/meter_test.go
@@ -20,12 +20,24 @@
 	is.Equal(parseProcessorTime("malformed"), time.Duration(0))
 }
 
-func TestReadingCosts(t *testing.T) {
+func TestReadingSince(t *testing.T) {
 	is := is.New(t)
-	earlier := reading{envelopesWasted: 10, notStarted: 1, started: 100, processorTime: time.Second}
-	later := reading{envelopesWasted: 16, notStarted: 3, started: 200, processorTime: 2 * time.Second}
-	used := later.minus(earlier)
-	is.Equal(used.wastedMessages(), 0.1) // 6 envelopes and 2 refusals of 2 messages for 100 tasks.
-	is.Equal(used.processorMicroseconds(), 10_000.0)
-	is.Equal(reading{}.minus(later).started, 0) // An instance that ended counts nothing.
+	earlier := reading{started: 100, entries: []entryReading{
+		{pid: 1, envelopesWasted: 10, notStarted: 1, processorTime: time.Second},
+		{pid: 2, envelopesWasted: 90, processorTime: time.Second},
+	}}
+	later := reading{started: 200, entries: []entryReading{
+		{pid: 1, envelopesWasted: 15, notStarted: 3, processorTime: 2 * time.Second},
+		{pid: 3, envelopesWasted: 1, processorTime: time.Second}, // Begun anew, so it counts whole.
+	}}
+	used := later.since(earlier)
+	is.Equal(used.wastedMessages(), 0.1) // 5+1 envelopes and 2 refusals of 2 messages for 100 tasks.
+	is.Equal(used.processorMicroseconds(), 20_000.0)
+}
+
+func TestReadingSinceCountsNothingOfASilentInstance(t *testing.T) {
+	is := is.New(t)
+	earlier := reading{entries: []entryReading{{pid: 1, envelopesSent: 5, processorTime: time.Second}}}
+	later := reading{entries: []entryReading{{pid: 1}}}
+	is.Equal(later.since(earlier), usage{})
 }
--- a/cmd/amaranthwell-load/phase.go
+++ b/cmd/amaranthwell-load/phase.go
@@ -41,7 +41,7 @@
 	}
 	result := r.newResult(s, p, w)
 	result.EventErrors = append(eventErrors, r.bench.endedEntries()...)
-	result.meter(after.minus(before))
+	result.meter(after.since(before))
 	result.judge(r.recorder, seen)
 	r.results = append(r.results, result)
 	r.addCurve(s, p, w)
--- a/cmd/amaranthwell-load/result.go
+++ b/cmd/amaranthwell-load/result.go
@@ -137,7 +137,7 @@
 }
 
 // meter sets the costs of the window.
-func (r *result) meter(used reading) {
+func (r *result) meter(used usage) {
 	r.StartedTasks = used.started
 	r.MessagesPerTask = round(perTask(used.envelopesSent, used.started))
 	r.WastedMessagesPerTask = round(used.wastedMessages())
@@ -149,8 +149,8 @@
 func (r *result) compare(others, without *routeRecord) {
 	kept := round(float64(others.completeTasks) / float64(max(1, without.completeTasks)))
 	r.OtherWorkKept = &kept
-	if p99 := without.ratio(99); p99 > 0 {
-		ratio := round(others.ratio(99) / p99)
+	if without.completeTasks > 0 && others.completeTasks > 0 {
+		ratio := round(others.ratio(99) / without.ratio(99))
 		r.OtherWorkP99Ratio = &ratio
 	}
 }
--- a/cmd/amaranthwell-load/table.go
+++ b/cmd/amaranthwell-load/table.go
@@ -47,8 +47,8 @@
 		if r.Others != nil {
 			routes = *r.Others
 		}
-		fmt.Fprintf(w, "| %s %s | %s | %.2f | %.2f | %.0f | %.1f %% | %.3f | %s | %s | %d | %d | %.3f | %.0f |\n",
-			r.Fleet, rowName(r), r.Version, routes.ResponseOverIdealP50, routes.ResponseOverIdealP99,
+		fmt.Fprintf(w, "| %s %s | %s | %s | %s | %.0f | %.1f %% | %.3f | %s | %s | %d | %d | %.3f | %.0f |\n",
+			r.Fleet, rowName(r), r.Version, ratioText(routes, routes.ResponseOverIdealP50), ratioText(routes, routes.ResponseOverIdealP99),
 			r.All.Throughput, 100*routes.CompleteShare, r.WastedMessagesPerTask,
 			compared(r.OtherWorkKept), compared(r.OtherWorkP99Ratio),
 			r.RefusedButRun, r.StartedTwice, r.UselessStartsPerTask, r.ProcessorMicrosecondsPerTask)
@@ -70,3 +70,11 @@
 	}
 	return fmt.Sprintf("%.3f", *value)
 }
+
+// ratioText returns a ratio's text, or a dash if no answer was complete.
+func ratioText(r routeResult, ratio float64) string {
+	if r.CompleteShare == 0 {
+		return "–"
+	}
+	return fmt.Sprintf("%.2f", ratio)
+}
