--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -80,6 +80,8 @@
 	send(start, a, b, self, second)
 	_, h := send(start, b, a, second, self)
 	is.True(h.Current)
+	late := &peer.Envelope{}
+	a.Stamp(start, second, late)
 	later := start.Add(peer.DefaultForgetAfter)
 	is.Equal(a.Tick(later), []netip.AddrPort{second})
 	// What b sends now rests on what a has forgotten.
@@ -87,6 +89,8 @@
 	is.True(!h.Current)
 	_, h = send(later, a, b, self, second)
 	is.True(h.Restarted)
+	// What a sent before it forgot b is of an ended session.
+	is.True(!b.Hear(later, self, late).Fresh)
 }
 
 func TestAListedPeerIsNotForgotten(t *testing.T) {
