--- a/cmd/amaranthwell/audit.go
+++ b/cmd/amaranthwell/audit.go
@@ -19,7 +19,11 @@
 func (c *auditCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	reader, verdicts, err := operator.ReadAll(ctx, c.env.newLog(c.Log))
+	log, err := c.env.newLog(c.Log)
+	if err != nil {
+		return err
+	}
+	reader, verdicts, err := operator.ReadAll(ctx, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/amaranthwell/configuration.go
+++ b/cmd/amaranthwell/configuration.go
@@ -2,101 +2,102 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 	"github.com/go-kit/log"
 
 	"github.com/amaranthwell/amaranthwell/entry"
 	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/platform"
 )
 
-// Times and sizes of reading the configuration.
+// Times of following the configuration.
 const (
-	configurationWait  = 5 * time.Second
-	configurationLimit = 100
-	configurationRetry = 500 * time.Millisecond
-	appendTimeout      = 5 * time.Second
+	// endsPerRetention is the number of looks at the log's end in the time
+	// for which it keeps a record.
+	endsPerRetention = 64
+	appendTimeout    = 5 * time.Second
 )
 
+// snapshotTopic is the internal topic of the configurations that peers send.
+const snapshotTopic = "peer-snapshots"
+
 // A follower reads the configuration's stream of the log, puts what is accepted
-// in force, and publishes snapshots of it before the records expire. One
-// goroutine owns its state.
+// in force, and appends snapshots of it before the records expire.
 type follower struct {
-	log         operator.Log
-	logger      log.Logger
+	log       *platform.LogClient
+	logger    log.Logger
+	retention time.Duration
+	snapshots *gochannel.GoChannel
+	// apply hands an event to the control goroutine, and show a
+	// configuration to the operators' port.
+	apply func(event)
+	show  func(operator.Current)
+
+	mu          sync.Mutex
 	reader      *operator.Reader
 	republisher *operator.Republisher
-	snapshots   chan []byte
-	apply       func(event)
-	current     func(operator.Current)
 	applied     uint64
 }
 
 // run follows the log until ctx ends.
-func (f *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		page, asked, err := f.read(ctx)
-		if err != nil {
-			f.wait(ctx)
-			continue
-		}
-		verdicts, err := f.reader.Page(page)
-		if err != nil {
-			_ = f.logger.Log("event", "configuration-page-refused", "err", err)
-			f.wait(ctx)
-		}
-		for _, v := range verdicts {
-			f.logVerdict(v)
-		}
-		f.republisher.Page(asked, page, verdicts)
-		f.publish()
-		f.republish(ctx)
+func (f *follower) run(ctx context.Context) error {
+	router, err := message.NewRouter(message.RouterConfig{}, routerLogger{f.logger})
+	if err != nil {
+		return err
 	}
+	router.AddConsumerHandler("configuration", operator.Stream, f.log, f.takeRecord)
+	router.AddConsumerHandler("peer-snapshots", snapshotTopic, f.snapshots, f.takeSnapshot)
+	go f.watchEnd(ctx)
+	return router.Run(ctx)
 }
 
-// read reads the next page. A snapshot from a peer ends the wait for one.
-func (f *follower) read(ctx context.Context) (operator.Page, time.Time, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		page operator.Page
-		err  error
-	}
-	answers := make(chan answer, 1)
-	asked := time.Now()
-	go func() {
-		page, err := f.log.Read(ctx, operator.Stream, f.reader.Next(), configurationWait, configurationLimit)
-		answers <- answer{page, err}
-	}()
-	select {
-	case a := <-answers:
-		return a.page, asked, a.err
-	case s := <-f.snapshots:
-		cancel()
-		<-answers
-		f.adopt(s)
-		return operator.Page{}, asked, context.Canceled
-	}
+// offer hands over a configuration that a peer sent.
+func (f *follower) offer(snapshot []byte) {
+	_ = f.snapshots.Publish(snapshotTopic, message.NewMessage("", snapshot))
 }
 
-// wait pauses after an error, unless a peer sends a snapshot.
-func (f *follower) wait(ctx context.Context) {
-	timer := time.NewTimer(configurationRetry)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case s := <-f.snapshots:
-		f.adopt(s)
+// takeRecord applies a record of the log, or learns of records that expired.
+func (f *follower) takeRecord(msg *message.Message) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page := operator.Page{First: 1}
+	if gap, ok := platform.GapOf(msg); ok {
+		page.First, page.Next = gap.To+1, gap.To+1
+	} else {
+		offset := platform.OffsetOf(msg)
+		page.Next = offset + 1
+		page.Records = []operator.Record{{Offset: offset, Body: msg.Payload}}
+	}
+	if page.Next <= f.reader.History().Offset()+1 {
+		return nil // A snapshot was ahead of the record.
+	}
+	verdicts, err := f.reader.Page(page)
+	if err != nil {
+		_ = f.logger.Log("event", "configuration-record-refused", "err", err)
+	}
+	for _, v := range verdicts {
+		_ = f.logger.Log("event", "configuration-edit", "outcome", v.Outcome, "offset", v.Offset,
+			"revision", v.Revision, "author", v.Author, "detail", v.Detail)
 	}
+	f.republisher.Page(time.Now(), page, verdicts)
+	f.publish()
+	return nil
 }
 
-// adopt takes a snapshot from a peer.
-func (f *follower) adopt(snapshot []byte) {
-	if err := f.reader.Adopt(snapshot); err == nil {
-		_ = f.logger.Log("event", "configuration-adopted", "offset", f.reader.History().Offset())
+// takeSnapshot adopts a configuration from a peer, if it is ahead.
+func (f *follower) takeSnapshot(msg *message.Message) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.reader.Adopt(msg.Payload); err != nil {
+		return nil //nolint:nilerr // A snapshot that is not ahead changes nothing.
 	}
+	_ = f.logger.Log("event", "configuration-adopted", "offset", f.reader.History().Offset())
 	f.publish()
+	return nil
 }
 
 // publish puts the reader's configuration in force.
@@ -110,22 +111,54 @@
 	if tables != nil {
 		f.apply(func(now time.Time, i *entry.Instance) { i.SetTables(now, tables, offset, snapshot) })
 	}
-	f.current(f.reader.Current())
+	f.show(f.reader.Current())
+}
+
+// watchEnd looks at the log's end from time to time and appends a snapshot when
+// one is due, until ctx ends.
+func (f *follower) watchEnd(ctx context.Context) {
+	ticker := time.NewTicker(f.retention / endsPerRetention)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.lookAtEnd(ctx)
+			f.republish(ctx)
+		}
+	}
+}
+
+// lookAtEnd tells the republisher where the log ends.
+func (f *follower) lookAtEnd(ctx context.Context) {
+	f.mu.Lock()
+	next := f.reader.Next()
+	f.mu.Unlock()
+	asked := time.Now()
+	page, err := f.log.Read(ctx, operator.Stream, next, 0, 1)
+	if err != nil || len(page.Records) > 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.republisher.Page(asked, page, nil)
 }
 
-// republish appends a snapshot to the log if one is due.
+// republish appends a snapshot if one is due.
 func (f *follower) republish(ctx context.Context) {
-	if !f.republisher.Due(time.Now(), f.reader) {
+	f.mu.Lock()
+	due := f.republisher.Due(time.Now(), f.reader)
+	snapshot, offset := f.reader.History().Snapshot(), f.reader.History().Offset()
+	f.mu.Unlock()
+	if !due {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := f.log.Append(ctx, operator.Stream, f.reader.History().Snapshot())
+	_, err := f.log.Append(ctx, operator.Stream, snapshot)
+	_ = f.logger.Log("event", "configuration-republished", "offset", offset, "err", err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.republisher.Attempted(time.Now())
-	_ = f.logger.Log("event", "configuration-republished", "offset", f.reader.History().Offset(), "err", err)
-}
-
-func (f *follower) logVerdict(v operator.Verdict) {
-	_ = f.logger.Log("event", "configuration-edit", "outcome", v.Outcome, "offset", v.Offset,
-		"revision", v.Revision, "author", v.Author, "detail", v.Detail)
 }
--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -34,6 +35,11 @@
 	drainPoll = 20 * time.Millisecond
 	// maxDrain bounds a graceful shutdown.
 	maxDrain = 5 * time.Minute
+	// The timeouts of the callers' port.
+	callerHeaderTimeout = 5 * time.Second
+	callerReadTimeout   = 30 * time.Second
+	callerWriteTimeout  = 30 * time.Second
+	callerIdleTimeout   = 2 * time.Minute
 	// closeTimeout bounds the end of the HTTP ports and links.
 	closeTimeout = 2 * time.Second
 )
@@ -98,14 +104,19 @@
 		return nil, err
 	}
 	d.current.Store(&operator.Current{})
+	client, err := platform.NewLogClient(platform.LogConfig{URL: settings.Log.String(), Logger: logger})
+	if err != nil {
+		return nil, err
+	}
 	d.follower = &follower{
-		log:         newLog(settings.Log.String()),
+		log:         client,
 		logger:      logger,
+		retention:   settings.LogRetention,
 		reader:      operator.NewReader(),
 		republisher: republisher,
-		snapshots:   make(chan []byte, 16),
+		snapshots:   gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 16}, routerLogger{logger}),
 		apply:       func(e event) { d.control.do(e) },
-		current:     func(c operator.Current) { d.current.Store(&c) },
+		show:        func(c operator.Current) { d.current.Store(&c) },
 	}
 	return d, nil
 }
@@ -152,13 +163,16 @@
 	if err != nil {
 		return err
 	}
-	d.control = newControl(serving, d.instance, d.backends, d.offerSnapshot)
+	d.control = newControl(serving, d.instance, d.backends, d.follower.offer)
 	d.registerMetrics()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return ended(peer.Listen(serving, peers, d.control)) })
-	group.Go(func() error { d.follower.run(serving); return nil })
+	group.Go(func() error { return d.follower.run(serving) })
 	group.Go(func() error { d.followList(serving); return nil })
-	callerServer := caller.NewServer(caller.ServerConfig{Submitter: d.control})
+	callerServer, err := newCallerServer(d.control)
+	if err != nil {
+		return err
+	}
 	serveHTTP(group, callerServer, callers)
 	serveHTTP(group, &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: closeTimeout}, operators)
 	_ = d.logger.Log("event", "started", "zone", d.settings.Zone)
@@ -212,13 +226,6 @@
 	}
 }
 
-func (d *daemon) offerSnapshot(snapshot []byte) {
-	select {
-	case d.follower.snapshots <- snapshot:
-	default:
-	}
-}
-
 func (d *daemon) operatorHandler() http.Handler {
 	return operator.NewHandler(operator.HandlerConfig{Instance: d, Metrics: d.metrics})
 }
@@ -234,6 +241,20 @@
 // Current returns the configuration in force.
 func (d *daemon) Current() operator.Current { return *d.current.Load() }
 
+// newCallerServer returns the server of the callers' port.
+func newCallerServer(submitter caller.Submitter) (*http.Server, error) {
+	return caller.NewServer(caller.ServerConfig{
+		Handler: caller.NewHandler(caller.HandlerConfig{
+			Submitter:    submitter,
+			UseWithin:    entry.DefaultUseWithin,
+			WriteTimeout: callerWriteTimeout,
+		}),
+		HeaderTimeout: callerHeaderTimeout,
+		ReadTimeout:   callerReadTimeout,
+		IdleTimeout:   callerIdleTimeout,
+	})
+}
+
 func listen(addr netip.AddrPort) (net.Listener, error) {
 	return net.Listen("tcp", addr.String())
 }
--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -19,6 +19,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/platform"
 )
 
 // version is the program's version; the linker may set it.
@@ -44,7 +45,7 @@
 // environment is what the commands use of the world outside.
 type environment struct {
 	stdout, stderr io.Writer
-	newLog         func(url string) operator.Log
+	newLog         func(url string) (operator.Log, error)
 }
 
 // logOptions are the options of commands that use the log.
@@ -91,6 +92,12 @@
 }
 
 func addCommands(parser *flags.Parser, env environment) {
+	mustAdd(parser.AddCommand("entry", "Run an entry instance",
+		"Runs an entry instance until SIGTERM, which lets it end what it has begun.",
+		&entryCommand{}))
+	mustAdd(parser.AddCommand("submit", "Submit a job",
+		"Submits a job to an entry instance and prints a summary of its answer.",
+		&submitCommand{}))
 	mustAdd(parser.AddCommand("check", "Check tables",
 		"Checks TOML files of routes and pools as a whole and prints every fault.",
 		&checkCommand{env: env}))
@@ -129,8 +136,9 @@
 	var check *operator.CheckError
 	var record *operator.RecordError
 	var refused *refusedError
+	var url *platform.ConfigError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &file):
+	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &url):
 		return exitUsage
 	case errors.As(err, &check), errors.As(err, &record), errors.As(err, &refused):
 		return exitRefused
--- a/cmd/amaranthwell/publish.go
+++ b/cmd/amaranthwell/publish.go
@@ -75,7 +75,10 @@
 
 // publish tries until the outcome is known or ctx ends.
 func (c *publishCommand) publish(ctx context.Context, edit operator.Edit) error {
-	log := c.env.newLog(c.Log)
+	log, err := c.env.newLog(c.Log)
+	if err != nil {
+		return err
+	}
 	for {
 		v, err := c.attempt(ctx, log, &edit)
 		if err == nil {
--- a/cmd/amaranthwell/show.go
+++ b/cmd/amaranthwell/show.go
@@ -20,7 +20,11 @@
 func (c *showCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	reader, _, err := operator.ReadAll(ctx, c.env.newLog(c.Log))
+	log, err := c.env.newLog(c.Log)
+	if err != nil {
+		return err
+	}
+	reader, _, err := operator.ReadAll(ctx, log)
 	if err != nil {
 		return err
 	}
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -27,6 +27,13 @@
 			found = append(found, fmt.Sprintf("task %s started %d times", task, n))
 		}
 	}
+	for life, ids := range w.waits {
+		for _, id := range ids {
+			if len(w.answers[id]) == 0 {
+				found = append(found, fmt.Sprintf("caller %d at %v got no answer", id, life))
+			}
+		}
+	}
 	notRun := make(map[caller.Key]bool)
 	for id, job := range submitted {
 		if len(w.answers[id]) > 1 {
@@ -133,7 +140,14 @@
 	case p < 0.80 && len(s.jobs) > 0:
 		key := s.jobs[s.draw.IntN(len(s.jobs))].Key
 		s.give(n, func(now time.Time, i *entry.Instance) { i.Cancel(now, key) })
-	case p < 0.84:
+	case p < 0.82 && n.up && !n.instance.Leaving():
+		s.drain(addr)
+		s.after(40*time.Second, func() {
+			if !n.up {
+				s.boot(addr)
+			}
+		})
+	case p < 0.85:
 		s.kill(addr)
 		s.after(time.Duration(s.draw.IntN(3000))*time.Millisecond, func() {
 			if !n.up {
@@ -171,7 +185,7 @@
 // submitNew sends a new job with a key of one instance through another.
 func (s *storm) submitNew(n *node) {
 	owner := s.nodes[instanceAddress(s.draw.IntN(len(s.nodes)))]
-	if !owner.up || owner.paused {
+	if !owner.up || owner.paused || owner.instance.Leaving() {
 		return
 	}
 	route := "previews"
@@ -201,7 +215,7 @@
 			s.resume(addr)
 		}
 	}
-	s.run(30 * time.Second)
+	s.run(time.Minute)
 	return s.violations(s.submitted)
 }
 
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -125,13 +125,17 @@
 	i.assign(now)
 }
 
+// Leaving reports whether a graceful shutdown has begun.
+func (i *Instance) Leaving() bool { return i.leaving }
+
 // Drained reports whether nothing is left at now that a shutdown would
-// interrupt: no job, no task, and no key that may yet be used.
+// interrupt: no job, no task, no key that may yet be used, and no answer that a
+// live peer has not acknowledged.
 func (i *Instance) Drained(now time.Time) bool {
 	if !i.issued.IsZero() && now.Sub(i.issued) < i.cfg.UseWithin {
 		return false
 	}
-	return len(i.jobs) == 0 && len(i.relays) == 0 && !i.holdsTasks()
+	return len(i.jobs) == 0 && len(i.relays) == 0 && !i.holdsTasks() && !i.owes()
 }
 
 // Ready reports whether the instance can take jobs from callers.
--- a/entry/instance_test.go
+++ b/entry/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/platform"
 )
 
 // settle is the time in which the instances of a world come to know each other:
@@ -72,3 +74,83 @@
 	}
 	is.Equal(len(w.starts), 20)
 }
+
+func TestDrainWaitsUntilAnAnswerHasArrived(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3, 3, 6)
+	w.run(settle)
+	owner, relay := instanceAddress(0), instanceAddress(1)
+	key := w.key(owner)
+	id := w.submit(relay, caller.Job{Key: key, Route: "previews", Tasks: payloads(4)})
+	w.run(50 * time.Millisecond)
+	w.drain(owner)
+	// The first answer is lost: it comes 100 ms after the start.
+	w.lose = func(from, to netip.AddrPort) bool { return from == owner && to == relay }
+	w.run(500 * time.Millisecond)
+	w.lose = func(_, _ netip.AddrPort) bool { return false }
+	w.run(time.Minute)
+	is.True(!w.nodes[owner].up)
+	is.Equal(len(w.answers[id]), 1)
+	is.Equal(w.answers[id][0].Status, caller.Complete)
+}
+
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4, 3, 6)
+	w.run(settle)
+	leaving := serverAddress(2)
+	w.list.Instances = append(w.list.Instances, platform.Instance{
+		Address: leaving, Kind: platform.BackendServer, Zone: zoneOf(2), Leaving: true,
+	})
+	w.setList(w.list)
+	told := w.now
+	for range 50 {
+		w.submit(instanceAddress(0), caller.Job{Route: "previews", Tasks: payloads(20)})
+		w.run(100 * time.Millisecond)
+	}
+	is.True(!w.startedAt[leaving].After(told))
+	is.True(len(w.starts) == 1000) // 50 jobs of 20 tasks
+}
+
+func TestOwnersDeathLeavesTheOutcomeUnknown(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, 3, 6)
+	w.run(settle)
+	owner := instanceAddress(0)
+	job := caller.Job{Key: w.key(owner), Route: "previews", Tasks: payloads(4)}
+	first := w.submit(instanceAddress(1), job)
+	w.run(20 * time.Millisecond)
+	w.kill(owner)
+	w.run(100 * time.Millisecond)
+	w.boot(owner)
+	w.run(10 * time.Second)
+	second := w.submit(instanceAddress(2), job)
+	third := w.submit(owner, job)
+	w.run(10 * time.Second)
+	for _, id := range []entry.CallerID{first, second, third} {
+		is.Equal(len(w.answers[id]), 1)
+		is.Equal(w.answers[id][0].Status, caller.Unknown)
+	}
+	is.Equal(len(w.starts), 4)
+}
+
+func TestNewHolderKeepsWithinTheSlots(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6, 6, 12)
+	joins := instanceAddress(3)
+	w.kill(joins)
+	w.run(settle)
+	w.runTime = func(entry.Start) time.Duration { return time.Second }
+	for range 10 {
+		w.submit(instanceAddress(0), caller.Job{Route: "thumbnails", Tasks: payloads(100)})
+	}
+	w.run(time.Second)
+	w.boot(joins)
+	w.run(5 * time.Second)
+	w.drain(joins)
+	w.run(15 * time.Second)
+	is.Equal(len(w.starts), 1000) // 10 jobs of 100 tasks
+	for _, most := range w.mostRunning {
+		is.True(most <= 8) // slots
+	}
+}
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -17,6 +17,9 @@
 	// settled holds the keys that the peer may forget, until it has
 	// acknowledged the envelope that said so.
 	settled []settledKey
+	// owed is the sequence of the last envelope that carried an answer or a
+	// result.
+	owed uint64
 }
 
 // A settledKey is a key that a peer was told to forget in the envelope of the
@@ -48,6 +51,16 @@
 	box.settled = slices.DeleteFunc(box.settled, func(s settledKey) bool { return s.sequence <= sequence })
 }
 
+// owes reports whether a live peer has not acknowledged an answer or a result.
+func (i *Instance) owes() bool {
+	for addr, box := range i.outboxes {
+		if box.owed > i.members.Acknowledged(addr) && i.members.Live(addr) {
+			return true
+		}
+	}
+	return false
+}
+
 // flush makes envelopes of the outboxes that are urgent or due.
 func (i *Instance) flush(now time.Time) {
 	for _, addr := range i.members.HeartbeatsDue(now) {
@@ -71,6 +84,9 @@
 	env := box.env
 	box.env, box.urgent = &peer.Envelope{}, false
 	i.members.Stamp(now, addr, env)
+	if len(env.Answers)+len(env.Results) > 0 {
+		box.owed = env.Sequence
+	}
 	env.ConfigurationOffset = i.offset
 	env.Load = i.load()
 	i.counts.EnvelopesSent++
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -47,6 +47,8 @@
 	// answers holds the answers that reached callers.
 	answers map[entry.CallerID][]caller.Answer
 	nextID  entry.CallerID
+	// waits holds the callers that wait at each life of each node.
+	waits map[nodeLife][]entry.CallerID
 
 	// faults of envelopes: each is asked for every envelope.
 	lose, duplicate func(from, to netip.AddrPort) bool
@@ -56,6 +58,12 @@
 	outcome func(s entry.Start) backend.OutcomeKind
 }
 
+// A nodeLife is one process at an address.
+type nodeLife struct {
+	address netip.AddrPort
+	life    int
+}
+
 // A node is one entry instance of the world.
 type node struct {
 	address  netip.AddrPort
@@ -82,6 +90,7 @@
 		running:     make(map[netip.AddrPort]int),
 		mostRunning: make(map[netip.AddrPort]int),
 		answers:     make(map[entry.CallerID][]caller.Answer),
+		waits:       make(map[nodeLife][]entry.CallerID),
 		lose:        func(_, _ netip.AddrPort) bool { return false },
 		duplicate:   func(_, _ netip.AddrPort) bool { return false },
 		delay:       func(_, _ netip.AddrPort) time.Duration { return worldDelay },
@@ -159,10 +168,39 @@
 	w.after(worldTick, func() { w.tick(n, life) })
 }
 
-// kill ends the process at addr at once.
+// kill ends the process at addr at once. The callers that wait there lose their
+// connections.
 func (w *world) kill(addr netip.AddrPort) {
-	w.nodes[addr].up = false
-	w.nodes[addr].life++
+	n := w.nodes[addr]
+	delete(w.waits, nodeLife{addr, n.life})
+	n.up = false
+	n.life++
+}
+
+// drain asks the process at addr to end, and ends it once it says that nothing
+// is left to do. The callers that wait there must all have their answers.
+func (w *world) drain(addr netip.AddrPort) {
+	n := w.nodes[addr]
+	life := n.life
+	w.give(n, func(now time.Time, i *entry.Instance) { i.Leave(now) })
+	var look func()
+	look = func() {
+		if n.life != life {
+			return
+		}
+		if n.paused || !n.instance.Drained(w.now) {
+			w.after(worldTick, look)
+			return
+		}
+		// What the process has decided to send is sent before it ends.
+		w.after(0, func() {
+			if n.life == life {
+				n.up = false
+				n.life++
+			}
+		})
+	}
+	look()
 }
 
 // pause freezes the process at addr between a decision and its acts, and
@@ -284,6 +322,10 @@
 func (w *world) submit(addr netip.AddrPort, job caller.Job) entry.CallerID {
 	w.nextID++
 	id := w.nextID
+	if n := w.nodes[addr]; n.up {
+		life := nodeLife{addr, n.life}
+		w.waits[life] = append(w.waits[life], id)
+	}
 	w.give(w.nodes[addr], func(now time.Time, i *entry.Instance) { i.Submit(now, id, job) })
 	return id
 }
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -1,25 +1,16 @@
 package operator
 
-import "fmt"
+import (
+	"fmt"
 
-// A Record is one record of a stream of the log.
-type Record struct {
-	// Offset counts the stream's records from 1, without holes.
-	Offset uint64
-	// Body is the record's content.
-	Body []byte
-}
+	"github.com/amaranthwell/amaranthwell/platform"
+)
 
-// A Page is what one read of a stream returned.
-type Page struct {
-	// First is the offset of the first record that the log still keeps, or
-	// of the next one to be appended if it keeps none.
-	First uint64
-	// Next is the offset to read from next.
-	Next uint64
-	// Records holds the records read, in order.
-	Records []Record
-}
+// Record and Page are what a read of the log returns.
+type (
+	Record = platform.Record
+	Page   = platform.Page
+)
 
 // A PageError reports a page that cannot follow what the reader has applied.
 type PageError struct {
