caller: serve keys, jobs and cancellations over HTTP

Cause: callers submit jobs of up to 1,300 tasks over ordinary HTTP; bad, slow and endless requests must start nothing and hold no connection.

Codes: 200 complete, 429 not-run for overload, 503 not-run otherwise, 502 failed, 504 unknown. scanJob reads the usual JSON into one buffer and leaves the rest to the library.

--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Names of HTTP headers.
+const (
+	// NextKeyHeader carries a fresh key of the answering instance, for the
+	// caller's next job.
+	NextKeyHeader    = "Next-Key"
+	retryAfterHeader = "Retry-After"
+	contentType      = "Content-Type"
+	jsonType         = "application/json"
+)
+
+// An answerBody is the HTTP body of an Answer.
+type answerBody struct {
+	Key        Key      `json:"key"`
+	Status     Status   `json:"status"`
+	Reason     Reason   `json:"reason,omitempty"`
+	Message    string   `json:"message,omitempty"`
+	RetryAfter string   `json:"retry-after,omitempty"`
+	Results    [][]byte `json:"results,omitempty"`
+}
+
+// An errorBody is the HTTP body of a RequestError.
+type errorBody struct {
+	Error   RequestFault `json:"error"`
+	Message string       `json:"message"`
+}
+
+// newAnswerBody returns the HTTP body of answer.
+func newAnswerBody(answer Answer) answerBody {
+	body := answerBody{
+		Key:     answer.Key,
+		Status:  answer.Status,
+		Reason:  answer.Reason,
+		Message: answer.Message,
+		Results: answer.Results,
+	}
+	if answer.RetryAfter > 0 {
+		body.RetryAfter = answer.RetryAfter.String()
+	}
+	return body
+}
+
+// answerCode returns the HTTP status code of an answer:
+//
+//	200 complete
+//	429 not-run for overload
+//	503 not-run for another reason
+//	502 failed
+//	504 unknown
+func answerCode(answer Answer) int {
+	switch answer.Status {
+	case Complete:
+		return http.StatusOK
+	case NotRun:
+		if answer.Reason == ReasonOverload {
+			return http.StatusTooManyRequests
+		}
+		return http.StatusServiceUnavailable
+	case Failed:
+		return http.StatusBadGateway
+	}
+	return http.StatusGatewayTimeout
+}
+
+// retryAfterSeconds returns the value of the Retry-After header: whole
+// seconds, rounded up.
+func retryAfterSeconds(d time.Duration) string {
+	return fmt.Sprint(int64((d + time.Second - 1) / time.Second))
+}
--- /dev/null
+++ b/caller/decode.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A jobBody is the HTTP body of a job.
+type jobBody struct {
+	Key     string   `json:"key,omitempty"`
+	Route   string   `json:"route"`
+	Timeout string   `json:"timeout,omitempty"`
+	Tasks   taskList `json:"tasks"`
+}
+
+// decodeJob returns the job of an HTTP body. It returns a *RequestError if
+// there is none. The job's tasks do not share memory with body.
+func decodeJob(body []byte) (Job, error) {
+	fields, ok := scanJob(body)
+	if !ok {
+		var err error
+		fields, err = unmarshalJob(body)
+		if err != nil {
+			return Job{}, err
+		}
+	}
+	return fields.job()
+}
+
+// unmarshalJob returns the fields of any JSON that holds a job. scanJob takes
+// the usual forms at a fraction of the cost.
+func unmarshalJob(body []byte) (jobBody, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var fields *jobBody
+	if err := decoder.Decode(&fields); err != nil {
+		var requestErr *RequestError
+		if errors.As(err, &requestErr) {
+			return jobBody{}, requestErr
+		}
+		return jobBody{}, badRequest(FaultJSON, err.Error())
+	}
+	if fields == nil {
+		return jobBody{}, badRequest(FaultJSON, "the body is null")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return jobBody{}, badRequest(FaultJSON, "there is more than one value")
+	}
+	return *fields, nil
+}
+
+// job checks the fields and returns their job.
+func (f jobBody) job() (Job, error) {
+	job := Job{Route: f.Route, Tasks: f.Tasks}
+	if err := job.Key.UnmarshalText([]byte(f.Key)); err != nil {
+		return Job{}, badRequest(FaultKey, err.Error())
+	}
+	if f.Route == "" {
+		return Job{}, badRequest(FaultRoute, "the job names no route")
+	}
+	if f.Timeout != "" {
+		timeout, err := time.ParseDuration(f.Timeout)
+		if err != nil {
+			return Job{}, badRequest(FaultTimeout, err.Error())
+		}
+		job.Timeout = timeout
+	}
+	if job.Timeout < 0 {
+		return Job{}, badRequest(FaultTimeout, "the timeout is negative")
+	}
+	if len(f.Tasks) == 0 {
+		return Job{}, badRequest(FaultTasks, "the job has no tasks")
+	}
+	return job, nil
+}
+
+// A taskList is a JSON array of at most MaxTasks texts in base64.
+type taskList [][]byte
+
+// UnmarshalJSON decodes the array. It stops with a *RequestError at a task
+// too many, so that a body of empty tasks takes little memory.
+func (l *taskList) UnmarshalJSON(data []byte) error {
+	*l = nil
+	if string(data) == "null" {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('[') {
+		return badRequest(FaultJSON, "the tasks are no array")
+	}
+	for decoder.More() {
+		if len(*l) == MaxTasks {
+			return tooManyTasks()
+		}
+		var task []byte
+		if err := decoder.Decode(&task); err != nil {
+			return badRequest(FaultJSON, fmt.Sprintf("task %d: %v", len(*l), err))
+		}
+		*l = append(*l, task)
+	}
+	return nil
+}
+
+func tooManyTasks() *RequestError {
+	return badRequest(FaultTasks, fmt.Sprintf("the job has more than %d tasks", MaxTasks))
+}
