backend: weigh a wait for a faster server by confidence and by short tasks

Cause: with noisy run times the estimates of equal servers differ, and tasks waited for servers that only seemed faster; a rule that counts long tasks as slow ejected good servers.

Change: a server's speed is a Kalman filter of the logarithm of its run times, which loses confidence with age and when its residuals lean to one side; a wait is weighed with the factor one standard deviation below the estimate and with the harmonic mean of the run times; a server counts as slow only when its estimate certainly is 8 times a typical one. A fractional guarantee is paid back in time, so that no route starves on few slots.

Ruled out: learning from tasks that still run, which counted one long task several times and ejected idle slow servers.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -14,7 +14,7 @@
 		return handle{}, nil, false
 	}
 	for _, r := range d.order {
-		r.account(now, d.guarantee(r))
+		d.account(now, r)
 	}
 	d.decision++
 	for {
@@ -69,17 +69,19 @@
 	}
 }
 
-// patience returns the number of waiting tasks of r that are expected to
-// finish sooner if they wait for a faster server than s.
+// patience returns the number of waiting tasks of r that lose more, relative to
+// their run times, if they start on s than if they wait for a faster server.
 //
 // The n-th task waits for n of the tasks that run on faster servers to end.
-// With b tasks on servers of factor f and a mean work w, one ends each
-// w*f/b; the sum over the faster levels is what each level could save.
+// With b tasks of mean work m on servers of factor f, one ends each m*f/b.
+// A task of work w loses w*(own-f) on s, and w is taken as the harmonic mean,
+// since a wait counts most against short tasks. The sum over the faster levels
+// is the number of tasks for which waiting is better.
 func (d *dispatcher) patience(r *route, s *server) int {
 	if !r.work.known() || d.runningWork <= 0 {
 		return 0
 	}
-	own := levelFactors[s.level]
+	own := s.slowness.leastFactor()
 	sum := 0.0
 	for level := 0; level < s.level; level++ {
 		if d.busy[level] == 0 || own < slowerLeast*levelFactors[level] {
@@ -91,7 +93,7 @@
 		return 0
 	}
 	meanWork := d.runningWork / float64(d.running)
-	return int(sum * r.work.mean / meanWork * d.turn(r))
+	return int(sum * r.work.harmonic() / meanWork * d.turn(r))
 }
 
 // turn returns the part of the next free slots that r gets, in [0, 1].
@@ -128,10 +130,6 @@
 	s.used.milliCores += rec.demand.milliCores
 	s.used.memoryMiB += rec.demand.memoryMiB
 	d.refresh(s)
-	if r.work.known() {
-		late := now.Add(max(lateLeast, seconds(lateFactor*r.work.mean*max(1, s.slowness.factor()))))
-		d.lates.push(&d.tasks, d.running, timer{at: d.instant(late), task: h})
-	}
 }
 
 // setOverdue takes a task from its queue for the next call of takeOverdue.
--- a/backend/dispatcher.go
+++ b/backend/dispatcher.go
@@ -6,11 +6,8 @@
 )
 
 const (
-	// lateFactor is the multiple of a route's expected run time after which
-	// a running task counts as slow.
-	lateFactor = 8
-	// lateLeast is the shortest run time that counts as slow.
-	lateLeast = 500 * time.Millisecond
+	// meanRunStep is the weight of a run time in the mean of all.
+	meanRunStep = 0.1
 	// sweepEvery is the time between two looks at what ages.
 	sweepEvery = time.Second
 	// keepReleased is the time for which a server that is no longer held is
@@ -40,8 +37,9 @@
 	// of the expected run times of those running, in seconds.
 	waiting, running int
 	runningWork      float64
-	deadlines        timers
-	lates            timers
+	// meanRun is the moving mean of all run times in seconds.
+	meanRun   float64
+	deadlines timers
 	// overdue holds tasks that were found overdue when a server was chosen.
 	overdue []handle
 	// decision counts the calls of next.
@@ -52,11 +50,9 @@
 
 func newDispatcher(ejector *Ejector) *dispatcher {
 	return &dispatcher{
-		ejector:   ejector,
-		routes:    map[string]*route{},
-		servers:   map[netip.AddrPort]*server{},
-		deadlines: timers{state: waiting},
-		lates:     timers{state: running},
+		ejector: ejector,
+		routes:  map[string]*route{},
+		servers: map[netip.AddrPort]*server{},
 	}
 }
 
@@ -76,10 +72,15 @@
 	return float64(r.row.Share) * float64(d.usable) / float64(d.shares)
 }
 
+// account brings up to now what r is owed.
+func (d *dispatcher) account(now time.Time, r *route) {
+	r.account(now, d.guarantee(r), d.meanRun)
+}
+
 // push adds a waiting task and returns its handle.
 func (d *dispatcher) push(now time.Time, name string, arrived, deadline time.Time) handle {
 	r := d.route(name)
-	r.account(now, d.guarantee(r))
+	d.account(now, r)
 	if arrived.IsZero() {
 		arrived = now
 	}
@@ -120,9 +121,9 @@
 // advance brings all that depends on time up to now.
 func (d *dispatcher) advance(now time.Time) {
 	if d.ejector.Advance(now) {
+		d.doubtOnTrial()
 		d.refreshAll()
 	}
-	d.recordLate(now)
 	if now.Before(d.sweepAt) {
 		return
 	}
@@ -131,37 +132,29 @@
 	d.forgetReleased(now)
 }
 
-// recordLate reports the running tasks that take much longer than expected.
-func (d *dispatcher) recordLate(now time.Time) {
-	for {
-		h, ok := d.lates.pop(&d.tasks, d.instant(now))
-		if !ok {
-			return
+// doubtOnTrial drops the confidence in the speed of the servers on trial.
+func (d *dispatcher) doubtOnTrial() {
+	for _, s := range d.held {
+		if s.health.state == trial {
+			s.slowness.variance = spreadOfSpeeds
 		}
-		rec := &d.tasks.records[h.index]
-		rec.late = true
-		d.observe(now, rec, Observation{Kind: Lost, Slow: true})
 	}
 }
 
 // ageSpeeds takes confidence from old estimates and centres the servers'
 // speeds, so that a typical server's factor stays 1.
 func (d *dispatcher) ageSpeeds(now time.Time) {
-	sum, known := 0.0, 0
+	sum, weight := 0.0, 0.0
 	for _, s := range d.held {
 		if s.excess > 0 && !now.Before(s.excessUntil) {
 			s.excess = 0
 		}
-		if now.Sub(s.slowness.at) > sweepEvery {
-			s.slowness.age(now)
-		}
-		if s.slowness.samples >= 1 {
-			sum += s.slowness.log
-			known++
-		}
+		s.slowness.age(now)
+		sum += s.slowness.log / s.slowness.variance
+		weight += 1 / s.slowness.variance
 	}
-	if known > 0 {
-		d.centre(sum / float64(known))
+	if weight > 0 {
+		d.centre(sum / weight)
 	}
 	d.refreshAll()
 }
@@ -169,9 +162,7 @@
 // centre moves the mean from the servers' estimates to the routes'.
 func (d *dispatcher) centre(mean float64) {
 	for _, s := range d.held {
-		if s.slowness.samples >= 1 {
-			s.slowness.log -= mean
-		}
+		s.slowness.log -= mean
 	}
 	for _, r := range d.order {
 		r.work.scale(mean)
@@ -194,7 +185,7 @@
 		return false
 	}
 	r, s := rec.route, rec.server
-	r.account(now, d.guarantee(r))
+	d.account(now, r)
 	r.running--
 	s.running--
 	s.used.milliCores -= rec.demand.milliCores
@@ -205,34 +196,16 @@
 		d.runningWork = 0
 	}
 	s.report(now, o)
-	slow := d.learn(now, rec, o)
-	if !rec.late || o.Kind == NotStarted || o.Kind == Done && !slow {
-		d.observe(now, rec, Observation{Kind: o.Kind, Slow: slow, Leaving: o.Leaving})
-	} else if o.Leaving {
-		d.ejector.SetLeaving(now, s.row.Address, true)
+	if o.Kind == Done {
+		run := now.Sub(rec.started)
+		learn(now, &r.work, &s.slowness, run)
+		d.meanRun += meanRunStep * (run.Seconds() - d.meanRun)
 	}
-	d.refresh(s)
+	d.observe(now, rec, Observation{Kind: o.Kind, Slow: s.slowness.crawls(), Leaving: o.Leaving})
 	d.tasks.drop(h.index)
 	return true
 }
 
-// learn takes the run time of a task that succeeded into the estimates, and
-// reports whether the task was slow.
-func (d *dispatcher) learn(now time.Time, rec *record, o Outcome) bool {
-	if o.Kind != Done {
-		return false
-	}
-	run := now.Sub(rec.started)
-	slow := rec.route.work.known() && run >= lateAfter(&rec.route.work)
-	learn(now, &rec.route.work, &rec.server.slowness, run)
-	return slow
-}
-
-// lateAfter returns the run time from which a task counts as slow.
-func lateAfter(w *work) time.Duration {
-	return max(lateLeast, seconds(lateFactor*w.mean))
-}
-
 // seconds returns the duration of so many seconds.
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
--- a/backend/fleet.go
+++ b/backend/fleet.go
@@ -131,7 +131,7 @@
 func (d *dispatcher) addServer(now time.Time, addr netip.AddrPort) *server {
 	s := &server{
 		health:    d.ejector.add(addr),
-		slowness:  slowness{at: now},
+		slowness:  slowness{variance: spreadOfSpeeds, at: now},
 		positions: newPositions(len(d.shelves)),
 	}
 	d.servers[addr] = s
--- a/backend/route.go
+++ b/backend/route.go
@@ -6,9 +6,14 @@
 	"github.com/amaranthwell/amaranthwell/operator"
 )
 
-// owedTasks is the number of mean run times of a slot that a route can be owed
-// at most.
-const owedTasks = 4
+const (
+	// owedTasks is the number of mean run times of a slot that a route can
+	// be owed at most.
+	owedTasks = 4
+	// owedLeast bounds what a route can be owed at most from below, in slot
+	// seconds.
+	owedLeast = 1.0
+)
 
 // A route is a row of the routes table with its tasks at this holder.
 type route struct {
@@ -22,6 +27,9 @@
 	demand demand
 	// class is the position of demand in the dispatcher's shelves.
 	class int
+	// typical is the expected run time of a task in seconds: the mean of all
+	// routes until one of this route's tasks has ended.
+	typical float64
 	// owed is the service in slot seconds that the route had less than its
 	// guarantee while tasks waited.
 	owed float64
@@ -66,15 +74,20 @@
 		return guaranteed
 	case have >= guarantee:
 		return lent
-	case r.work.known() && r.owed >= r.work.mean:
+	case r.owed > 0 && r.owed >= r.typical:
 		return guaranteed
 	default:
 		return fractional
 	}
 }
 
-// account brings owed up to now.
-func (r *route) account(now time.Time, guarantee float64) {
+// account brings owed up to now. The mean run time of all routes' tasks is
+// given in seconds.
+func (r *route) account(now time.Time, guarantee, mean float64) {
+	r.typical = mean
+	if r.work.known() {
+		r.typical = r.work.mean
+	}
 	elapsed := now.Sub(r.owedAt).Seconds()
 	r.owedAt = now
 	if elapsed <= 0 {
@@ -84,7 +97,7 @@
 	if r.queue.length == 0 && short > 0 {
 		return
 	}
-	limit := owedTasks * r.work.mean
+	limit := max(owedTasks*r.typical, owedLeast)
 	r.owed = min(max(r.owed+short*elapsed, 0), limit)
 }
 
--- a/backend/server.go
+++ b/backend/server.go
@@ -36,7 +36,7 @@
 	// report, excess that of the latest two, and excessUntil ends its effect.
 	reported, excess int
 	excessUntil      time.Time
-	used        demand
+	used             demand
 	// usable, free and busy are what the server adds to the dispatcher's
 	// sums: the slots in use or open to tasks, those open, those in use.
 	usable, free, busy int
--- a/backend/slab.go
+++ b/backend/slab.go
@@ -20,8 +20,6 @@
 // dispatcher.
 type record struct {
 	state taskState
-	// late says that the task has been reported as slow.
-	late bool
 	// generation tells the record's task from earlier ones in its place.
 	generation uint32
 	route      *route
--- a/backend/speed.go
+++ b/backend/speed.go
@@ -8,11 +8,26 @@
 const (
 	// routeStep is the least weight of a new run time in a route's estimate.
 	routeStep = 0.02
-	// serverStep is the least weight of a new run time in a server's estimate.
-	serverStep = 0.05
-	// speedMemory is the time after which a server's estimate has lost most
-	// of its confidence.
-	speedMemory = 3 * time.Minute
+	// spreadOfSpeeds is the variance of the logarithm of the servers' speeds
+	// before any run time is known: one in three differs by more than 2.
+	spreadOfSpeeds = 0.49
+	// speedMemory is the time after which most of what is known of a
+	// server's speed is out of date.
+	speedMemory = 5 * time.Minute
+	// firstNoise is the variance of the logarithm of a route's run times
+	// before any is known.
+	firstNoise = 1.0
+	// leastNoise bounds the variance of a route's run times from below.
+	leastNoise = 0.01
+	// crawlLog is the logarithm of the factor, 8, from which a server crawls.
+	crawlLog = 3 * math.Ln2
+	// outlier is the number of standard deviations to which a run time is
+	// cut before it counts.
+	outlier = 2.0
+	// leanStep is the weight of a residual in the moving mean, and leanMost
+	// the mean that shows a change of speed, four standard deviations.
+	leanStep = 0.125
+	leanMost = 1.0
 	// confidentSamples is the number of run times after which a route's
 	// estimate is told to others.
 	confidentSamples = 3
@@ -27,8 +42,11 @@
 type work struct {
 	// mean is the mean run time in seconds.
 	mean float64
-	// log is the mean of the logarithm of the run time.
-	log float64
+	// rate is the mean of the inverse of the run time in seconds.
+	rate float64
+	// log is the mean of the logarithm of the run time, and noise is the
+	// variance of that logarithm.
+	log, noise float64
 	// least is about the shortest run time in seconds.
 	least float64
 	// samples is the number of run times seen.
@@ -40,31 +58,32 @@
 	return w.samples > 0
 }
 
+// harmonic returns the harmonic mean of the run time in seconds.
+func (w *work) harmonic() float64 {
+	return 1 / w.rate
+}
+
 // slowness is the learned factor by which a server takes longer than a typical
-// one, as a logarithm.
+// one, as a Kalman filter of its logarithm that falls back to 0 with age.
 type slowness struct {
-	log float64
-	// samples is the confidence: the number of run times seen, less with age.
-	samples float64
-	// at is when the confidence was last brought up to date.
+	log      float64
+	variance float64
+	// lean is the moving mean of the residuals in standard deviations.
+	lean float64
+	// at is when the estimate was last brought up to date.
 	at time.Time
 }
 
-// age takes from s the confidence that it has lost up to now. An estimate of
-// no confidence is that of a typical server.
+// age takes from s the confidence that it has lost up to now.
 func (s *slowness) age(now time.Time) {
-	if s.samples == 0 {
-		s.at = now
-		return
-	}
-	d := now.Sub(s.at)
+	d := now.Sub(s.at).Seconds()
+	s.at = now
 	if d <= 0 {
 		return
 	}
-	kept := math.Exp(-d.Seconds() / speedMemory.Seconds())
+	kept := math.Exp(-d / speedMemory.Seconds())
 	s.log *= kept
-	s.samples *= kept
-	s.at = now
+	s.variance = spreadOfSpeeds - (spreadOfSpeeds-s.variance)*kept*kept
 }
 
 // factor returns the expected run time relative to a typical server's.
@@ -72,22 +91,52 @@
 	return math.Exp(s.log)
 }
 
+// leastFactor returns the factor that the server is taken to have at least:
+// one standard deviation below the expected one.
+func (s *slowness) leastFactor() float64 {
+	return math.Exp(s.log - math.Sqrt(s.variance))
+}
+
 // learn takes a run time of a route on a server into both estimates.
 func learn(now time.Time, w *work, s *slowness, run time.Duration) {
+	s.age(now)
 	seconds := max(run.Seconds(), shortestRun)
-	s.at = now
 	typical := seconds / s.factor()
-	step := max(1/(w.samples+1), routeStep)
-	w.learnLeast(typical)
-	w.mean += step * (typical - w.mean)
 	if !w.known() {
 		w.log = math.Log(typical)
+		w.noise = firstNoise
 	}
+	w.learnLeast(typical)
+	step := max(1/(w.samples+1), routeStep)
+	w.mean += step * (typical - w.mean)
+	w.rate += step * (1/typical - w.rate)
 	residual := math.Log(typical) - w.log
 	w.log += step * residual
+	w.noise = max(leastNoise, w.noise+routeStep*(residual*residual-w.noise))
 	w.samples++
-	s.log += max(1/(s.samples+2), serverStep) * residual
-	s.samples++
+	s.correct(w, residual)
+}
+
+// correct moves the estimate by as much of the residual of a run time of the
+// route as its confidence allows. It drops the confidence when the residuals
+// lean to one side, since then the speed has changed.
+func (s *slowness) correct(w *work, residual float64) {
+	deviation := math.Sqrt(w.noise + s.variance)
+	residual = min(max(residual, -outlier*deviation), outlier*deviation)
+	s.lean += leanStep * (residual/deviation - s.lean)
+	if math.Abs(s.lean) > leanMost {
+		s.lean = 0
+		s.variance = spreadOfSpeeds
+	}
+	gain := s.variance / (s.variance + w.noise)
+	s.log += gain * residual
+	s.variance *= 1 - gain
+}
+
+// crawls reports whether the server is certainly much slower than a typical
+// one.
+func (s *slowness) crawls() bool {
+	return s.log-2*math.Sqrt(s.variance) > crawlLog
 }
 
 func (w *work) learnLeast(typical float64) {
@@ -102,6 +151,7 @@
 func (w *work) scale(mean float64) {
 	factor := math.Exp(mean)
 	w.mean *= factor
+	w.rate /= factor
 	w.least *= factor
 	w.log += mean
 }
--- a/backend/timers.go
+++ b/backend/timers.go
@@ -8,11 +8,10 @@
 	task handle
 }
 
-// timers is a heap of timers of tasks in one state, the earliest first. A task
-// that leaves the state leaves a stale timer, which is dropped later.
+// timers is a heap of timers of waiting tasks, the earliest first. A task that
+// stops waiting leaves a stale timer, which is dropped later.
 type timers struct {
-	heap  []timer
-	state taskState
+	heap []timer
 }
 
 // push adds a timer. Live is the number of timers that are not stale.
@@ -30,7 +29,7 @@
 	for len(t.heap) > 0 && t.heap[0].at <= instant {
 		h := t.heap[0].task
 		t.removeFirst()
-		if s.get(h, t.state) != nil {
+		if s.get(h, waiting) != nil {
 			return h, true
 		}
 	}
@@ -41,7 +40,7 @@
 func (t *timers) sweep(s *slab) {
 	live := t.heap[:0]
 	for _, e := range t.heap {
-		if s.get(e.task, t.state) != nil {
+		if s.get(e.task, waiting) != nil {
 			live = append(live, e)
 		}
 	}
