standin: log, list of instances and worker with a judge

Cause: tests and the demo need the platform's log, its list and backend servers, with their faults. Ruled out: one handler for all three; each has a configuration of its own. Change: Log, Instances, Worker, Judge and the program amaranthwell-standin.

--- /dev/null
+++ b/cmd/amaranthwell-standin/main.go
@@ -0,0 +1,45 @@
+// Command amaranthwell-standin runs a stand-in for one part of the platform:
+// the log, the list of instances, or a worker with backend servers. It ends
+// at SIGINT and SIGTERM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	mustAdd(parser, "log", "Run the append-only log.", &logCommand{ctx: ctx})
+	mustAdd(parser, "instances", "Run the list of instances.", &instancesCommand{ctx: ctx})
+	mustAdd(parser, "worker", "Run a worker with backend servers.", &workerCommand{ctx: ctx})
+	if _, err := parser.Parse(); err != nil {
+		exit(err)
+	}
+}
+
+// mustAdd adds a command. It panics if the command's struct is malformed.
+func mustAdd(parser *flags.Parser, name, description string, command any) {
+	if _, err := parser.AddCommand(name, description, description, command); err != nil {
+		panic(err)
+	}
+}
+
+// exit prints err and ends the process, with status 0 if help was asked for.
+func exit(err error) {
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		fmt.Println(err)
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// maxPayloadBytes is the largest size of a task's payload in bytes.
+const maxPayloadBytes = 16 << 20
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Address identifies the server.
+	Address netip.AddrPort
+	// Slots is the number of tasks that run at once. It is at least 1.
+	Slots int
+	// Connections is the number of requests open at once, those of running
+	// and of waiting tasks. It is at least Slots.
+	Connections int
+	// Speed divides the run time of tasks. It is above zero.
+	Speed float64
+}
+
+// ServerFaults are the faults of a Server. The zero value has none.
+type ServerFaults struct {
+	// FailAll starts each task and fails it at once with status 500.
+	FailAll bool
+	// SlowFactor multiplies the run time of tasks that start. Zero means 1.
+	SlowFactor float64
+	// Vanish drops every connection. Tasks that have started run to their
+	// end, and those that wait are dropped.
+	Vanish bool
+	// LateStart is the time between a task's getting a slot and its start.
+	LateStart time.Duration
+	// Leaving refuses new tasks. Those accepted run to their end.
+	Leaving bool
+}
+
+// A Server is a stand-in for one backend server. It is an http.Handler and
+// safe for concurrent use.
+type Server struct {
+	cfg    ServerConfig
+	judge  *Judge
+	router chi.Router
+
+	mu         sync.Mutex
+	slots      slots
+	faults     ServerFaults
+	vanished   chan struct{}
+	maxRunning int
+	maxWaiting int
+}
+
+func newServer(cfg ServerConfig, judge *Judge) *Server {
+	s := &Server{
+		cfg:      cfg,
+		judge:    judge,
+		slots:    slots{size: cfg.Slots, connections: cfg.Connections},
+		vanished: make(chan struct{}),
+	}
+	s.router = chi.NewRouter()
+	s.router.Post("/v1/tasks", s.handleTask)
+	return s
+}
+
+// Address returns the address that identifies s.
+func (s *Server) Address() netip.AddrPort {
+	return s.cfg.Address
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.router.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults of s.
+func (s *Server) SetFaults(f ServerFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Vanish && !s.faults.Vanish {
+		close(s.vanished)
+	}
+	if !f.Vanish && s.faults.Vanish {
+		s.vanished = make(chan struct{})
+	}
+	s.faults = f
+}
+
+// Faults returns the faults of s.
+func (s *Server) Faults() ServerFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Running returns the number of tasks that run and that wait.
+func (s *Server) Running() (running, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load()
+}
+
+// load is Running; s.mu is held.
+func (s *Server) load() (running, waiting int) {
+	return s.slots.running, s.slots.open() - s.slots.running
+}
+
+func (s *Server) handleTask(w http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayloadBytes))
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	key := r.Header.Get("Submission-Key")
+	index, err := strconv.Atoi(r.Header.Get("Task-Index"))
+	if key == "" || err != nil || index < 0 || index > maxIndex {
+		s.refuse(w, http.StatusBadRequest, "no submission key or task index")
+		return
+	}
+	t, vanished := s.accept()
+	if t == nil {
+		s.refuse(w, http.StatusServiceUnavailable, "not accepted")
+		return
+	}
+	lateStart, ok := s.wait(r, t, vanished)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	if lateStart > 0 && !s.delay(r, t, vanished, lateStart) {
+		panic(http.ErrAbortHandler)
+	}
+	s.run(w, key, index, payload, vanished)
+}
+
+// accept returns a ticket for a task, or nil if s takes none. It drops the
+// connection if s has vanished.
+func (s *Server) accept() (*ticket, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Vanish {
+		panic(http.ErrAbortHandler)
+	}
+	if s.faults.Leaving {
+		return nil, s.vanished
+	}
+	t := s.slots.accept()
+	s.maxWaiting = max(s.maxWaiting, len(s.slots.waiting))
+	return t, s.vanished
+}
+
+// wait waits until t has a slot, and returns the time to wait on before the
+// start. It returns false if the task was dropped.
+func (s *Server) wait(r *http.Request, t *ticket, vanished <-chan struct{}) (time.Duration, bool) {
+	select {
+	case <-t.granted:
+		return s.Faults().LateStart, true
+	case <-r.Context().Done():
+	case <-vanished:
+	}
+	s.withdraw(t)
+	return 0, false
+}
+
+// delay keeps a task with a slot from starting for a time. It returns false if
+// the task was dropped meanwhile.
+func (s *Server) delay(r *http.Request, t *ticket, vanished <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+	case <-vanished:
+	}
+	s.withdraw(t)
+	return false
+}
+
+func (s *Server) withdraw(t *ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.withdraw(t)
+}
+
+// run starts a task that has a slot and answers when it has ended, unless s
+// vanishes before.
+func (s *Server) run(w http.ResponseWriter, key string, index int, payload []byte, vanished <-chan struct{}) {
+	o := parseOrder(payload)
+	duration, failAll := s.start(key, index, o.runTime)
+	ended := make(chan struct{})
+	time.AfterFunc(duration, func() {
+		s.finish()
+		close(ended)
+	})
+	select {
+	case <-ended:
+	case <-vanished:
+		panic(http.ErrAbortHandler)
+	}
+	s.writeLoad(w)
+	if o.fail || failAll {
+		http.Error(w, "the task failed", http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(append([]byte("done:"), payload...)) // A client that has gone needs no answer.
+}
+
+// start counts a start and returns the time that the task takes and whether it
+// is to fail.
+func (s *Server) start(key string, index int, runTime time.Duration) (time.Duration, bool) {
+	s.judge.start(key, index)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.running++
+	s.maxRunning = max(s.maxRunning, s.slots.running)
+	if s.faults.FailAll {
+		return 0, true
+	}
+	duration := float64(runTime) / s.cfg.Speed
+	if s.faults.SlowFactor > 0 {
+		duration *= s.faults.SlowFactor
+	}
+	return time.Duration(duration), false
+}
+
+func (s *Server) finish() {
+	s.judge.finish()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.running--
+	s.slots.release()
+}
+
+// refuse answers that the task did not run.
+func (s *Server) refuse(w http.ResponseWriter, status int, message string) {
+	s.writeLoad(w)
+	w.Header().Set("Not-Run", "true")
+	http.Error(w, message, status)
+}
+
+// writeLoad sets the headers that every answer carries.
+func (s *Server) writeLoad(w http.ResponseWriter) {
+	s.mu.Lock()
+	running, waiting := s.load()
+	leaving := s.faults.Leaving
+	s.mu.Unlock()
+	w.Header().Set("Running", strconv.Itoa(running))
+	w.Header().Set("Waiting", strconv.Itoa(waiting))
+	if leaving {
+		w.Header().Set("Leaving", "true")
+	}
+}
