demo: end entry instances before the stand-ins, and gracefully

Cause: a trial ended everything at once and killed the entry instances after 15 s; they wait up to 30 s until no key that they gave out may be used. Ruled out: killing them sooner, which would hide a shutdown that hangs. Change: callers end first, then entry instances within 45 s, then stand-ins; only children that bash still lists as running get a signal.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -10,21 +10,41 @@
 control=http://127.0.0.1:9001
 entries=8
 ready_seconds=30
-leave_seconds=15
+leave_seconds=45
 
 dir=$(mktemp -d)
-pids=()
+standins=()
+daemons=()
+submitters=()
+
+# running PID reports whether the process, which this script started, runs.
+running() {
+  jobs -pr | grep -qx "$1"
+}
 
-# stop ends the processes that this script started, and waits for them.
+# end PID... ends processes gracefully, and kills those that take too long.
+end() {
+  local pid deadline=$((SECONDS + leave_seconds))
+  for pid in "$@"; do
+    if running "$pid"; then kill -TERM "$pid"; fi
+  done
+  for pid in "$@"; do
+    while running "$pid" && [ $SECONDS -lt $deadline ]; do sleep 0.1; done
+    if running "$pid"; then
+      echo "process $pid did not end in $leave_seconds s" >&2
+      kill -KILL "$pid"
+    fi
+  done
+}
+
+# stop ends what this script started: callers, entry instances, stand-ins.
 stop() {
-  local status=$? pid
+  local status=$?
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for _ in $(seq $((leave_seconds * 10))); do
-    alive || break
-    sleep 0.1
-  done
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  end "${submitters[@]}"
+  echo "ending the entry instances, which wait until no key of theirs may be used any more" >&2
+  end "${daemons[@]}"
+  end "${standins[@]}"
   wait
   if [ "$status" -eq 0 ]; then rm -rf "$dir"; else echo "logs: $dir" >&2; fi
   exit "$status"
@@ -33,21 +53,12 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-# alive reports whether any process that this script started still runs.
-alive() {
-  local pid
-  for pid in "${pids[@]}"; do
-    if kill -0 "$pid" 2>/dev/null; then return 0; fi
-  done
-  return 1
-}
-
 # start NAME COMMAND... runs a command in the background, its output in a file.
+# Its process is $!.
 start() {
   local name=$1
   shift
   "$@" >"$dir/$name.log" 2>&1 &
-  pids+=($!)
 }
 
 # await URL waits until the URL answers with status 200.
@@ -62,6 +73,18 @@
   done
 }
 
+# check_started fails if a process that this script started has ended, as one
+# does whose address is in use.
+check_started() {
+  local pid
+  for pid in "${standins[@]}" "${daemons[@]}"; do
+    if ! running "$pid"; then
+      echo "process $pid has ended early" >&2
+      return 1
+    fi
+  done
+}
+
 # zone N prints the availability zone of the N-th entry instance.
 zone() {
   local zones=(hr-north-a hr-north-b hr-north-c)
@@ -81,20 +104,26 @@
 }
 
 start log bin/amaranthwell-standin log
+standins+=($!)
 start instances bin/amaranthwell-standin instances
+standins+=($!)
 start worker bin/amaranthwell-standin worker --count 50 --slots 8 --connections 64
+standins+=($!)
 await "$log/v1/streams/readiness/records"
 await "$instances/v1/instances"
 await "$control/v1/starts"
+check_started
 
 for n in $(seq $entries); do
   settings "$n" >"$dir/entry-$n.toml"
   start "entry-$n" bin/amaranthwell entry --settings "$dir/entry-$n.toml"
+  daemons+=($!)
   curl -fs -X PUT "$instances/v1/instances/127.0.2.$n:7000" \
     -d "{\"kind\":\"entry\",\"zone\":\"$(zone "$n")\"}"
 done
 bin/amaranthwell publish --log "$log" --author demo demo/routes.toml demo/pools.toml
 for n in $(seq $entries); do await "http://127.0.2.$n:9090/ready"; done
+check_started
 
 # Each job is: entry instance, route, number of tasks.
 jobs=(
@@ -102,13 +131,11 @@
   "5 retouches 12" "6 retouches 60" "7 retouches 4" "8 retouches 24"
   "1 thumbnails 100" "3 thumbnails 200" "5 thumbnails 30" "7 thumbnails 400"
 )
-daemons=("${pids[@]}")
-submitters=()
 for i in "${!jobs[@]}"; do
   read -r n route tasks <<<"${jobs[$i]}"
   start "job-$i" bin/amaranthwell submit --entry "http://127.0.2.$n:8080" \
     --route "$route" --tasks "$tasks" --payload "run-time=100ms"
-  submitters+=("${pids[-1]}")
+  submitters+=($!)
 done
 
 complete=0
@@ -117,7 +144,6 @@
   if wait "${submitters[$i]}"; then complete=$((complete + 1)); else failed=$((failed + 1)); fi
   tail -n 1 "$dir/job-$i.log"
 done
-pids=("${daemons[@]}")
 curl -fs "$control/v1/starts" && echo
 echo "jobs: $complete complete, $failed failed"
 [ "$failed" -eq 0 ]
