peer: give tasks to the fastest idle slots of all holders

Holders differ in the speed of their idle servers, and the owner drew holders by their number of idle slots alone, so that tasks started on servers of half speed while faster ones idled elsewhere. Ruled out: waiting at the servers (the worker stand-in saw none), queues at the holders (no route waited). Change: a holder reports its idle slots by speed and each route's run time on its typical server; the owner gives a task to the slots with the least expected run time, drawn among those within a fifth of it. Tasks queue at the holder by the job's arrival, not their own.

--- a/backend/flood_test.go
+++ b/backend/flood_test.go
@@ -61,7 +61,7 @@
 		is := is.New(t)
 		w := newWorld(t, 1, threeRoutes, servers(10, 8))
 		w.repeat(func() {
-			if w.h.Load().Free > 0 || len(w.h.Load().Queued) < 1 {
+			if load := w.h.Load(); load.Free > 0 || load.Waiting() < 1 {
 				w.submit(flooding, repeated(100, time.Second)...)
 			}
 		})
@@ -164,5 +164,9 @@
 		is.Equal(s.ID, want)
 	}
 	is.True(!h.Remove(7))
-	is.Equal(h.Load(), backend.Load{Slots: 2})
+	load := h.Load()
+	is.Equal(load.Slots, 2)
+	is.Equal(load.Free, 0)
+	is.Equal(len(load.Idle), 0)
+	is.Equal(load.Waiting(), 0)
 }
--- a/backend/holding.go
+++ b/backend/holding.go
@@ -145,17 +145,6 @@
 	}
 }
 
-// Load returns what the servers can take.
-func (h *Holding[ID]) Load() Load {
-	l := Load{Slots: h.d.usable, Free: h.d.free}
-	for _, r := range h.d.order {
-		if r.queue.length > 0 {
-			l.Queued = append(l.Queued, RouteQueue{Route: r.row.Name, Queued: r.queue.length})
-		}
-	}
-	return l
-}
-
 // Running returns the number of tasks of this holder that run on a server.
 func (h *Holding[ID]) Running(addr netip.AddrPort) int {
 	if s := h.d.servers[addr]; s != nil {
--- a/backend/holding_test.go
+++ b/backend/holding_test.go
@@ -109,7 +109,7 @@
 
 func (m *model) check(t *rapid.T) {
 	queued := 0
-	for _, q := range m.h.Load().Queued {
+	for _, q := range m.h.Load().Routes {
 		queued += q.Queued
 	}
 	// A task found overdue by Next is no longer queued, but not yet reported.
@@ -219,7 +219,7 @@
 		}
 	}
 	queued := 0
-	for _, q := range m.h.Load().Queued {
+	for _, q := range m.h.Load().Routes {
 		queued += q.Queued
 	}
 	if queued != len(m.waiting) {
--- a/backend/task.go
+++ b/backend/task.go
@@ -76,21 +76,3 @@
 	// Err says why Kind is not Done. It is nil when Kind is Done.
 	Err error
 }
-
-// Load is what the backend servers of a Holding can take.
-type Load struct {
-	// Slots is the number of usable slots.
-	Slots int
-	// Free is the number of idle ones among them.
-	Free int
-	// Queued holds the routes with waiting tasks, sorted by name.
-	Queued []RouteQueue
-}
-
-// A RouteQueue is the length of one route's queue.
-type RouteQueue struct {
-	// Route names the route.
-	Route string
-	// Queued is the number of waiting tasks.
-	Queued int
-}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -70,6 +70,9 @@
 // dispatch gives waiting tasks to holders that have room, the most urgent route
 // first. What each route gets is the holders' to decide.
 func (i *Instance) dispatch(now time.Time) {
+	if i.waitingTasks() == 0 {
+		return
+	}
 	for _, p := range i.pools {
 		p.spread.Report(i.cfg.Self, p.report(), 0)
 	}
@@ -129,7 +132,7 @@
 	j.holders[addr] = true
 	if addr == i.cfg.Self {
 		p.spread.Given(addr, j.route.Name, 0)
-		i.hold(now, addr, j.key, j.route.Name, j.deadline, taskMessage(j, index))
+		i.hold(now, i.heldJob(addr, j.key, j.route.Name), j.arrived, j.deadline, taskMessage(j, index))
 		return
 	}
 	p.spread.Given(addr, j.route.Name, i.members.NextSequence(addr))
@@ -150,6 +153,7 @@
 		Key:          key,
 		Route:        j.route.Name,
 		TimeoutNanos: int64(j.deadline.Sub(now)),
+		AgeNanos:     int64(now.Sub(j.arrived)),
 		Tasks:        []*peer.Task{task},
 	})
 }
--- a/entry/held.go
+++ b/entry/held.go
@@ -16,20 +16,27 @@
 		return
 	}
 	deadline := now.Add(time.Duration(r.TimeoutNanos))
+	arrived := now.Add(-time.Duration(r.AgeNanos))
+	h := i.heldJob(addr, key, r.Route)
 	for _, t := range r.Tasks {
-		i.hold(now, addr, key, r.Route, deadline, t)
+		i.hold(now, h, arrived, deadline, t)
 	}
 }
 
-// hold takes one task from its owner. A task that is known at the same or a
-// later attempt is not queued again.
-func (i *Instance) hold(now time.Time, owner netip.AddrPort, key caller.Key, route string, deadline time.Time, in *peer.Task) {
+// heldJob returns what is known of a job whose owner is at addr.
+func (i *Instance) heldJob(owner netip.AddrPort, key caller.Key, route string) *heldJob {
 	h := i.held[key]
 	if h == nil {
 		h = &heldJob{key: key, owner: owner, route: route, tasks: make(map[uint32]*Task)}
 		i.held[key] = h
 	}
-	if h.owner != owner || h.settled {
+	return h
+}
+
+// hold takes one task from its owner. A task that is known at the same or a
+// later attempt is not queued again.
+func (i *Instance) hold(now time.Time, h *heldJob, arrived, deadline time.Time, in *peer.Task) {
+	if h.settled {
 		return
 	}
 	if t := h.tasks[in.Index]; t != nil {
@@ -42,13 +49,13 @@
 	}
 	t := &Task{job: h, index: in.Index, attempt: in.Attempt, payload: in.Payload, deadline: deadline}
 	h.tasks[in.Index] = t
-	p := i.poolOf(route)
+	p := i.poolOf(h.route)
 	if p == nil || i.leaving {
 		i.ended(now, t, peer.Outcome_OUTCOME_NOT_STARTED, nil)
 		return
 	}
 	h.pool = p.name
-	p.holding.Push(now, backend.Task[*Task]{ID: t, Route: route, Arrived: now, Deadline: deadline})
+	p.holding.Push(now, backend.Task[*Task]{ID: t, Route: h.route, Arrived: arrived, Deadline: deadline})
 }
 
 // startHeld decides which waiting tasks start now.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -294,9 +294,16 @@
 func (p *pool) report() *peer.PoolLoad {
 	load := p.holding.Load()
 	l := &peer.PoolLoad{Pool: p.name, Slots: uint32(load.Slots), Free: uint32(load.Free)}
-	for _, q := range load.Queued {
-		if q.Queued > 0 {
-			l.Routes = append(l.Routes, &peer.RouteLoad{Route: q.Route, Queued: uint32(q.Queued)})
+	for _, g := range load.Idle {
+		l.Idle = append(l.Idle, &peer.Idle{Free: uint32(g.Free), Slowness: float32(g.Slowness)})
+	}
+	for _, r := range load.Routes {
+		if r.Queued > 0 || r.Typical > 0 {
+			l.Routes = append(l.Routes, &peer.RouteLoad{
+				Route:        r.Route,
+				Queued:       uint32(r.Queued),
+				TypicalNanos: int64(r.Typical),
+			})
 		}
 	}
 	return l
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // SpreadConfig configures a Spread.
@@ -21,33 +23,46 @@
 	DefaultQueueShare = 0.25
 	// minQueue is the number of waiting tasks that a holder may always have.
 	minQueue = 2
+	// sameSpeed is the factor up to which expected run times count as equal.
+	sameSpeed = 1.2
 )
 
 // A Spread decides to which holder an owner gives the next task of one pool.
 //
 // It knows of each holder what the holder last reported and what was given to
-// it since. Tasks go to idle slots while there are any; then a few wait at
-// each holder, so that a slot that falls idle finds its next task there, and
+// it since. Tasks go to the idle slots where they are expected to run fastest
+// while there are any; then a few wait at each holder, so that a slot that falls idle finds its next task there, and
 // the rest waits at the owner, to be given where room shows first.
 //
 // A Spread is not safe for concurrent use.
 type Spread struct {
 	cfg     SpreadConfig
 	holders []*holderView
+	// candidates is kept between calls of Pick.
+	candidates []candidate
 }
 
 // A holderView is what an owner knows of one holder.
 type holderView struct {
 	address netip.AddrPort
 	slots   int
-	free    int
+	idle    []*Idle
 	queued  map[string]int
+	typical map[string]time.Duration
 	given   []given
 	// givenTotal and givenRoute sum up the given tasks.
 	givenTotal int
 	givenRoute map[string]int
 }
 
+// A candidate is a holder with idle slots for a task.
+type candidate struct {
+	holder *holderView
+	free   int
+	// seconds is the expected run time there.
+	seconds float64
+}
+
 // given counts tasks that a holder's report does not show yet.
 type given struct {
 	sequence uint64
@@ -71,16 +86,19 @@
 		v = &holderView{
 			address:    holder,
 			queued:     make(map[string]int),
+			typical:    make(map[string]time.Duration),
 			givenRoute: make(map[string]int),
 		}
 		s.holders = append(s.holders, v)
 		slices.SortFunc(s.holders, func(a, b *holderView) int { return a.address.Compare(b.address) })
 	}
 	v.slots = int(load.Slots)
-	v.free = int(load.Free)
+	v.idle = load.Idle
 	clear(v.queued)
+	clear(v.typical)
 	for _, r := range load.Routes {
 		v.queued[r.Route] = int(r.Queued)
+		v.typical[r.Route] = time.Duration(r.TypicalNanos)
 	}
 	v.drop(received)
 }
@@ -132,7 +150,7 @@
 // Pick returns the holder that the next task of route is to be given to, of
 // those that usable admits. It returns false if none has room.
 func (s *Spread) Pick(route string, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
-	if v := s.pickIdle(usable); v != nil {
+	if v := s.pickIdle(route, usable); v != nil {
 		return v.address, true
 	}
 	if v := s.pickQueue(route, usable); v != nil {
@@ -141,31 +159,81 @@
 	return netip.AddrPort{}, false
 }
 
-// pickIdle draws a holder with idle slots, each slot with the same chance.
-func (s *Spread) pickIdle(usable func(netip.AddrPort) bool) *holderView {
-	total := 0
+// pickIdle draws one of the holders whose idle slots are about the fastest for
+// route, each slot with the same chance.
+func (s *Spread) pickIdle(route string, usable func(netip.AddrPort) bool) *holderView {
+	s.candidates = s.candidates[:0]
+	least := math.Inf(1)
+	known := s.leastTypical(route)
 	for _, v := range s.holders {
-		if room := v.free - v.givenTotal; room > 0 && usable(v.address) {
-			total += room
+		free, slowness := v.fastest()
+		if free == 0 || !usable(v.address) {
+			continue
+		}
+		typical := v.typical[route].Seconds()
+		if typical == 0 {
+			typical = known
+		}
+		c := candidate{holder: v, free: free, seconds: typical * slowness}
+		least = min(least, c.seconds)
+		s.candidates = append(s.candidates, c)
+	}
+	return s.drawCandidate(least * sameSpeed)
+}
+
+// drawCandidate draws a candidate whose expected run time is at most limit.
+func (s *Spread) drawCandidate(limit float64) *holderView {
+	total := 0
+	for _, c := range s.candidates {
+		if c.seconds <= limit {
+			total += c.free
 		}
 	}
 	if total == 0 {
 		return nil
 	}
 	draw := s.cfg.Random.IntN(total)
-	for _, v := range s.holders {
-		room := v.free - v.givenTotal
-		if room <= 0 || !usable(v.address) {
+	for _, c := range s.candidates {
+		if c.seconds > limit {
 			continue
 		}
-		if draw < room {
-			return v
+		if draw < c.free {
+			return c.holder
 		}
-		draw -= room
+		draw -= c.free
 	}
 	return nil
 }
 
+// leastTypical returns the least run time of route in seconds that a holder has
+// reported, or 1 if none has. A holder that knows nothing yet is tried as if it
+// were the best.
+func (s *Spread) leastTypical(route string) float64 {
+	least := math.Inf(1)
+	for _, v := range s.holders {
+		if t := v.typical[route]; t > 0 {
+			least = min(least, t.Seconds())
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 1
+	}
+	return least
+}
+
+// fastest returns the number and the slowness of the holder's fastest idle
+// slots that what it was given does not fill.
+func (v *holderView) fastest() (free int, slowness float64) {
+	given := v.givenTotal
+	for _, g := range v.idle {
+		if n := int(g.Free); n > given {
+			return n - given, float64(g.Slowness)
+		}
+		given -= int(g.Free)
+	}
+	return 0, 0
+}
+
 // pickQueue returns the holder with the shortest queue of route for its slots,
 // if that queue is short enough to add to.
 func (s *Spread) pickQueue(route string, usable func(netip.AddrPort) bool) *holderView {
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -15,8 +16,8 @@
 
 func ExampleSpread() {
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
-	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 0}, 0)
-	s.Report(second, &peer.PoolLoad{Slots: 8, Free: 1}, 0)
+	s.Report(self, &peer.PoolLoad{Slots: 8}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 0)
 	holder, ok := s.Pick("previews", anyHolder)
 	fmt.Println(holder, ok)
 	// Output: 127.0.2.2:7000 true
@@ -25,8 +26,8 @@
 func TestSpreadFillsIdleSlotsThenShortQueues(t *testing.T) {
 	is := is.New(t)
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
-	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 3}, 0)
-	s.Report(second, &peer.PoolLoad{Slots: 40, Free: 5}, 0)
+	s.Report(self, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 3, Slowness: 1}}}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 40, Idle: []*peer.Idle{{Free: 5, Slowness: 1}}}, 0)
 	count := make(map[netip.AddrPort]int)
 	for {
 		holder, ok := s.Pick("previews", anyHolder)
@@ -45,13 +46,13 @@
 func TestSpreadCountsWhatAReportDoesNotShow(t *testing.T) {
 	is := is.New(t)
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
-	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 0)
-	s.Report(second, &peer.PoolLoad{Slots: 8, Free: 0}, 0)
+	s.Report(self, &peer.PoolLoad{Slots: 1, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 0)
+	s.Report(second, &peer.PoolLoad{Slots: 8}, 0)
 	s.Given(self, "previews", 5)
-	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 4) // made before 5 arrived
+	s.Report(self, &peer.PoolLoad{Slots: 1, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 4) // made before 5 arrived
 	holder, _ := s.Pick("previews", anyHolder)
 	is.Equal(holder, second)
-	s.Report(self, &peer.PoolLoad{Slots: 1, Free: 1}, 5)
+	s.Report(self, &peer.PoolLoad{Slots: 1, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 5)
 	holder, _ = s.Pick("previews", anyHolder)
 	is.Equal(holder, self)
 }
@@ -59,7 +60,28 @@
 func TestSpreadLeavesOutUnusableHolders(t *testing.T) {
 	is := is.New(t)
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
-	s.Report(self, &peer.PoolLoad{Slots: 8, Free: 8}, 0)
+	s.Report(self, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 8, Slowness: 1}}}, 0)
 	_, ok := s.Pick("previews", func(netip.AddrPort) bool { return false })
 	is.True(!ok)
 }
+
+func TestSpreadPrefersTheFastestIdleSlots(t *testing.T) {
+	is := is.New(t)
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	load := func(typical time.Duration, idle ...*peer.Idle) *peer.PoolLoad {
+		return &peer.PoolLoad{Slots: 8, Idle: idle, Routes: []*peer.RouteLoad{
+			{Route: "previews", TypicalNanos: int64(typical)},
+		}}
+	}
+	// Expected run times: 100 and 400 ms at self, 150 ms at second.
+	s.Report(self, load(100*time.Millisecond, &peer.Idle{Free: 2, Slowness: 1}, &peer.Idle{Free: 2, Slowness: 4}), 0)
+	s.Report(second, load(300*time.Millisecond, &peer.Idle{Free: 2, Slowness: 0.5}), 0)
+	var order []netip.AddrPort
+	for range 6 {
+		holder, ok := s.Pick("previews", anyHolder)
+		is.True(ok)
+		s.Given(holder, "previews", 1)
+		order = append(order, holder)
+	}
+	is.Equal(order, []netip.AddrPort{self, self, second, second, self, self})
+}
