operator: go on after a log that lost its past; publish what follows

A publisher sees the verdicts of a whole log, not only the remembered ones, and reports a gap at once instead of waiting. Conclusion: whatever the log has lost, an operator can publish.

--- a/cmd/amaranthwell/publish.go
+++ b/cmd/amaranthwell/publish.go
@@ -20,7 +20,8 @@
 	logOptions
 	Author    string        `long:"author" value-name:"NAME" required:"true" description:"Who publishes the edit"`
 	Base      *uint64       `long:"base" value-name:"REVISION" description:"Revision that the edit was made from; the current one of the log if left out"`
-	EditID    string        `long:"edit-id" value-name:"ID" description:"ID of an edit whose outcome is unknown, to repeat it; a new one if left out"`
+	Reset     bool          `long:"reset" description:"Publish whatever the current revision is, for a log that no longer tells it"`
+	EditID    string        `long:"edit-id" value-name:"ID" description:"ID of an edit whose outcome is unknown, to repeat it with the same --base; a new one if left out"`
 	Timeout   time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"Time after which an outcome is given up as unknown"`
 	Arguments fileArguments `positional-args:"true" required:"true"`
 	env       environment
@@ -46,6 +47,9 @@
 
 // Execute runs the command.
 func (c *publishCommand) Execute([]string) error {
+	if c.Reset && c.Base != nil {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--reset and --base exclude each other"}
+	}
 	id, err := c.editID()
 	if err != nil {
 		return err
@@ -82,15 +86,30 @@
 			return c.result(v)
 		}
 		var unknown *operator.UnknownError
-		if !errors.As(err, &unknown) || !pause(ctx) {
+		if !errors.As(err, &unknown) {
 			return err
 		}
+		if !pause(ctx) {
+			return errors.Wrap(err, c.repetition(edit))
+		}
 		fmt.Fprintf(c.env.stderr, "trying again: %v\n", err)
 	}
 }
 
+// repetition returns the options that repeat edit.
+func (c *publishCommand) repetition(edit operator.Edit) string {
+	text := fmt.Sprintf("repeat with --edit-id %v", edit.ID)
+	if c.Base != nil {
+		text += fmt.Sprintf(" --base %d", *c.Base)
+	}
+	return text
+}
+
 // attempt publishes once. It settles the edit's base first.
 func (c *publishCommand) attempt(ctx context.Context, log operator.Log, edit *operator.Edit) (operator.Verdict, error) {
+	if c.Reset {
+		return operator.PublishReset(ctx, log, *edit)
+	}
 	if c.Base == nil {
 		reader, _, err := operator.ReadAll(ctx, log)
 		if err != nil {
--- a/operator/history_test.go
+++ b/operator/history_test.go
@@ -39,6 +39,10 @@
 	replace := func(old, with string) []byte {
 		return bytes.ReplaceAll([]byte(good), []byte(old), []byte(with))
 	}
+	ahead := operator.NewHistory()
+	for i := range 2 {
+		apply(is.New(t), ahead, mustEncode(newEdit(i, uint64(i), 1)))
+	}
 	tests := []struct {
 		name string
 		body []byte
@@ -56,6 +60,7 @@
 		{"truncated", []byte(good[:len(good)-1]), operator.Malformed},
 		{"year 10000", replace("2026-12-04T09:00:09Z", "9999-12-31T23:59:59-01:00"), operator.Malformed},
 		{"too large", bytes.Repeat([]byte(" "), operator.MaxSnapshotBytes+1), operator.Malformed},
+		{"snapshot of its own offset", ahead.Snapshot(), operator.Malformed},
 		{"malformed snapshot", []byte(`{"kind":"snapshot","state":{"offset":1,"revision":1}}`), operator.Malformed},
 	}
 	for _, test := range tests {
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -2,124 +2,54 @@
 
 import (
 	"context"
-	"fmt"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
+	"github.com/cockroachdb/errors"
 )
 
-const (
-	// pageLimit is the largest number of records asked for at once.
-	pageLimit = 256
-	// readWait is the time that a read waits for an appended record to show.
-	readWait = time.Second
-)
-
-// A Log is the platform's append-only log.
-type Log interface {
-	// Append appends body to stream and returns its offset. After an error
-	// the record may be in the log or not, or come into it later.
-	Append(ctx context.Context, stream string, body []byte) (offset uint64, err error)
-	// Read returns at most limit records of stream from the offset from on,
-	// or from the first that the log keeps. If there is none yet it waits
-	// for at most wait and then returns a page without records.
-	Read(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (Page, error)
-}
-
-// A GapError reports a log that no longer tells the current configuration.
-type GapError struct {
-	// Offset is the last offset known, First the first that the log keeps.
-	Offset, First uint64
-}
-
-// Error names both offsets.
-func (e *GapError) Error() string {
-	return fmt.Sprintf("the log keeps records from offset %d on and no snapshot for the gap after offset %d", e.First, e.Offset)
-}
-
-// An UnknownError reports an edit of which it is not known whether it was
-// accepted. Publishing it again with the same ID has no second effect.
-type UnknownError struct {
-	EditID uuid.UUID
-	// Err is the cause.
-	Err error
-}
-
-// Error names the edit and the cause.
-func (e *UnknownError) Error() string {
-	return fmt.Sprintf("outcome of edit %v unknown: %v", e.EditID, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *UnknownError) Unwrap() error {
-	return e.Err
-}
-
-// ReadAll returns a reader at the log's end and the verdicts of the records
-// that it applied. It returns a *GapError if the log does not tell the current
-// configuration.
-func ReadAll(ctx context.Context, log Log) (*Reader, []Verdict, error) {
-	reader := NewReader()
-	verdicts, err := readToEnd(ctx, log, reader)
-	return reader, verdicts, err
-}
-
-// readToEnd reads the log up to a page without records.
-func readToEnd(ctx context.Context, log Log, reader *Reader) ([]Verdict, error) {
-	var verdicts []Verdict
-	for {
-		page, more, err := readPage(ctx, log, reader, 0)
-		if err != nil {
-			return verdicts, err
-		}
-		verdicts = append(verdicts, more...)
-		if len(page.Records) > 0 {
-			continue
-		}
-		if reader.Gap() {
-			return verdicts, &GapError{Offset: reader.History().Offset(), First: page.First}
-		}
-		return verdicts, nil
-	}
-}
-
-func readPage(ctx context.Context, log Log, reader *Reader, wait time.Duration) (Page, []Verdict, error) {
-	if err := ctx.Err(); err != nil {
-		return Page{}, nil, err
-	}
-	page, err := log.Read(ctx, Stream, reader.Next(), wait, pageLimit)
-	if err != nil {
-		return page, nil, err
-	}
-	verdicts, err := reader.Page(page)
-	return page, verdicts, err
-}
-
 // Publish appends edit to the log, unless it is there already, and returns its
 // verdict. It returns an *UnknownError if it cannot tell, and a *RecordError
 // if edit cannot be encoded.
 func Publish(ctx context.Context, log Log, edit Edit) (Verdict, error) {
-	body, err := edit.Encode()
-	if err != nil {
+	if _, err := edit.Encode(); err != nil {
 		return Verdict{}, err
 	}
 	p, err := newPublication(log, edit)
 	if err != nil {
 		return Verdict{}, err
 	}
-	v, err := p.run(ctx, body)
+	v, err := p.run(ctx)
 	if err != nil {
 		return Verdict{}, &UnknownError{EditID: edit.ID, Err: err}
 	}
 	return v, nil
 }
 
+// PublishReset is like Publish for an edit that is accepted whatever the
+// current revision is, also when the log no longer tells it. It sets
+// edit.Reset itself, and tries again as long as other records come between. A
+// reset makes the log forget earlier verdicts: one that is published again
+// after another reset, when its record has expired, takes effect again.
+func PublishReset(ctx context.Context, log Log, edit Edit) (Verdict, error) {
+	for {
+		reader, _, err := ReadAll(ctx, log)
+		var gap *GapError
+		if err != nil && !errors.As(err, &gap) {
+			return Verdict{}, &UnknownError{EditID: edit.ID, Err: err}
+		}
+		edit.Reset = reader.Next()
+		v, err := Publish(ctx, log, edit)
+		if err != nil || v.Reason != Misplaced {
+			return v, err
+		}
+	}
+}
+
 // publication is one call of Publish.
 type publication struct {
 	log    Log
 	reader *Reader
-	id     uuid.UUID
+	edit   Edit
 	// digest is the hash of the edit's tables.
 	digest uint64
 }
@@ -132,32 +62,59 @@
 	p := &publication{
 		log:    log,
 		reader: NewReader(),
-		id:     edit.ID,
+		edit:   edit,
 		digest: xxhash.Sum64(tables),
 	}
 	return p, nil
 }
 
-func (p *publication) run(ctx context.Context, body []byte) (Verdict, error) {
-	if _, err := readToEnd(ctx, p.log, p.reader); err != nil {
+func (p *publication) run(ctx context.Context) (Verdict, error) {
+	verdicts, err := p.catchUp(ctx)
+	if err != nil {
 		return Verdict{}, err
 	}
-	if first, ok := p.reader.History().Verdict(p.id); ok {
-		return copyVerdict(first, Verdict{
-			Outcome:        Refused,
-			EditID:         p.id,
-			Revision:       p.reader.History().Revision(),
-			RevisionAuthor: p.reader.History().Author(),
-			Digest:         p.digest,
-		}), nil
+	if v, ok := p.find(verdicts); ok {
+		return v, nil
+	}
+	if first, ok := p.reader.History().Verdict(p.edit.ID); ok {
+		return copyVerdict(first, p.refusal("")), nil
+	}
+	body, err := p.edit.Encode()
+	if err != nil {
+		return Verdict{}, err
 	}
 	offset, err := p.log.Append(ctx, Stream, body)
 	if err != nil {
 		return p.afterLoss(ctx, err)
 	}
+	if p.edit.Reset > 0 && p.edit.Reset != offset {
+		return p.refusal(Misplaced), nil
+	}
 	return p.await(ctx, offset)
 }
 
+// catchUp reads to the log's end. A reset needs no whole log.
+func (p *publication) catchUp(ctx context.Context) ([]Verdict, error) {
+	verdicts, err := readToEnd(ctx, p.log, p.reader)
+	var gap *GapError
+	if p.edit.Reset > 0 && errors.As(err, &gap) {
+		return verdicts, nil
+	}
+	return verdicts, err
+}
+
+// refusal returns the verdict of the edit if it is refused for reason.
+func (p *publication) refusal(reason Reason) Verdict {
+	return Verdict{
+		Outcome:        Refused,
+		EditID:         p.edit.ID,
+		Revision:       p.reader.History().Revision(),
+		RevisionAuthor: p.reader.History().Author(),
+		Reason:         reason,
+		Digest:         p.digest,
+	}
+}
+
 // afterLoss looks once for an edit whose append had no answer.
 func (p *publication) afterLoss(ctx context.Context, cause error) (Verdict, error) {
 	verdicts, err := readToEnd(ctx, p.log, p.reader)
@@ -173,26 +130,30 @@
 // await reads until the edit that was appended at offset has its verdict.
 func (p *publication) await(ctx context.Context, offset uint64) (Verdict, error) {
 	for {
-		_, verdicts, err := readPage(ctx, p.log, p.reader, readWait)
+		page, verdicts, err := readPage(ctx, p.log, p.reader, readWait)
 		if err != nil {
 			return Verdict{}, err
 		}
 		if v, ok := p.find(verdicts); ok {
 			return v, nil
 		}
+		if len(page.Records) == 0 && p.reader.Gap() {
+			return Verdict{}, &GapError{Offset: p.reader.History().Offset(), First: page.First}
+		}
 		if p.reader.History().Offset() >= offset {
-			return Verdict{}, &GapError{Offset: offset, First: offset + 1}
+			return Verdict{}, &LostVerdictError{Offset: offset}
 		}
 	}
 }
 
-// find returns the edit's verdict among new ones or those of a snapshot.
+// find returns the edit's verdict among new ones or those of a snapshot. A
+// reset that missed its offset has none yet.
 func (p *publication) find(verdicts []Verdict) (Verdict, bool) {
 	for _, v := range verdicts {
-		if v.EditID == p.id && v.Digest == p.digest {
+		if v.EditID == p.edit.ID && v.Digest == p.digest && v.Reason != Misplaced {
 			return v, true
 		}
 	}
-	v, ok := p.reader.History().Verdict(p.id)
+	v, ok := p.reader.History().Verdict(p.edit.ID)
 	return v, ok && v.Digest == p.digest
 }
--- a/operator/publish_test.go
+++ b/operator/publish_test.go
@@ -74,6 +74,21 @@
 	is.Equal(v.Reason, operator.StaleBase)
 	is.Equal(v.RevisionAuthor, "author-3")
 
+	// Another edit with the same ID gets into the log between.
+	log.before = func() {
+		log.before = func() {}
+		log.records = append(log.records, sent{body: mustEncode(newEdit(5, 2, 5))})
+	}
+	v, err = operator.Publish(ctx, log, newEdit(5, 2, 6))
+	is.NoErr(err)
+	is.Equal(v.Reason, operator.ReusedID)
+
+	// The log expires the records and no snapshot is left.
+	log.before = func() { log.first = log.end() + 1 }
+	_, err = operator.Publish(ctx, log, newEdit(6, 3, 6))
+	var gap *operator.GapError
+	is.True(errors.As(err, &gap))
+
 	_, err = operator.Publish(ctx, log, operator.Edit{Tables: newTables(1)})
 	var record *operator.RecordError
 	is.True(errors.As(err, &record))
@@ -151,4 +166,31 @@
 	_, err = operator.Publish(ctx, log, newEdit(1, 1, 1))
 	var gap *operator.GapError
 	is.True(errors.As(err, &gap))
+
+	// A reset is the way on, also when another record comes between.
+	log.before = func() {
+		log.before = func() {}
+		log.records = append(log.records, sent{})
+	}
+	v, err = operator.PublishReset(ctx, log, newEdit(2, 0, 2))
+	is.NoErr(err)
+	is.Equal(v.Outcome, operator.Accepted)
+	is.Equal(v.Revision, uint64(5))
+	v, err = operator.PublishReset(ctx, log, newEdit(2, 0, 2)) // Repeated, it has no second effect.
+	is.NoErr(err)
+	is.Equal(v.Offset, uint64(5))
+	is.Equal(len(log.records), 5)
+	log.before = func() {
+		log.before = func() {}
+		log.records = append(log.records, sent{})
+	}
+	v, err = operator.PublishReset(ctx, log, newEdit(3, 0, 3)) // The same on a whole log.
+	is.NoErr(err)
+	is.Equal(v.Revision, uint64(8))
+	v, err = operator.PublishReset(ctx, log, newEdit(2, 0, 2)) // It is found in the log, although forgotten.
+	is.NoErr(err)
+	is.Equal(v.Offset, uint64(5))
+	v, err = operator.Publish(ctx, log, newEdit(4, 8, 4))
+	is.NoErr(err)
+	is.Equal(v.Revision, uint64(9))
 }
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -72,10 +72,12 @@
 
 // Page applies the records of a page and returns their verdicts. Records that
 // were applied before have none. While there is a gap, Page looks for a
-// snapshot, and the records before it have no verdicts. It returns a
-// *PageError, and leaves the rest of the page, if a record is missing, or if
-// the log ends before the reader's offset: it has lost records, unless the page
-// was asked for before an Adopt.
+// snapshot or a reset, and of the records up to it only the reset has a verdict.
+//
+// Page returns a *PageError, and leaves the rest of the page, if the page does
+// not follow the reader's offset: a record is missing, or the log has lost
+// records. A page that was asked for before an Adopt may give it too, and does
+// no harm.
 func (r *Reader) Page(page Page) ([]Verdict, error) {
 	if page.First > page.Next {
 		return nil, r.pageError("the page ends at %d, before the log's first offset %d", page.Next, page.First)
@@ -85,7 +87,7 @@
 		return nil, r.pageError("the log ends before it")
 	}
 	if r.Gap() {
-		return nil, r.search(page)
+		return r.search(page)
 	}
 	return r.apply(page)
 }
@@ -112,36 +114,45 @@
 	return verdicts, nil
 }
 
-// search adopts the first snapshot of the page with no gap behind it.
-func (r *Reader) search(page Page) error {
+// search adopts the first snapshot of the page with no gap behind it, or the
+// first reset. It returns the verdict of the reset.
+func (r *Reader) search(page Page) ([]Verdict, error) {
 	r.next = max(r.next, r.first)
 	for _, record := range page.Records {
 		if record.Offset < r.next {
 			continue
 		}
 		if record.Offset > r.next {
-			return r.pageError("record at offset %d, want offset %d", record.Offset, r.next)
+			return nil, r.pageError("record at offset %d, want offset %d", record.Offset, r.next)
 		}
 		r.next = record.Offset + 1
-		if r.adoptRecord(record) {
-			return nil
+		other, reset := resetHistory(record)
+		if !reset {
+			other = r.snapshotIn(record)
+		}
+		if other == nil || r.take(other) != nil {
+			continue
 		}
+		if reset {
+			return r.history.Recent(), nil
+		}
+		return nil, nil
 	}
-	return nil
+	return nil, nil
 }
 
-// adoptRecord adopts a record that is a snapshot with no gap behind it, and
-// reports whether it did.
-func (r *Reader) adoptRecord(record Record) bool {
+// snapshotIn returns the state of a record that is a snapshot with no gap
+// behind it, and otherwise nil.
+func (r *Reader) snapshotIn(record Record) *History {
 	kind, err := recordKind(record.Body)
 	if err != nil || kind != snapshotKind {
-		return false
+		return nil
 	}
 	other, err := decodeSnapshot(record.Body)
 	if err != nil || other.offset >= record.Offset || other.offset+1 < r.first {
-		return false
+		return nil
 	}
-	return r.take(other) == nil
+	return other
 }
 
 func (r *Reader) take(other *History) error {
--- a/operator/record.go
+++ b/operator/record.go
@@ -37,6 +37,11 @@
 	Author string
 	// Base is the revision that the edit was made from.
 	Base uint64
+	// Reset is 0, or the offset that the record must get in the log. At that
+	// offset the edit is accepted whatever came before: it is the way on
+	// when the log no longer tells the current revision. A copy gets
+	// another offset and is refused.
+	Reset uint64
 	// At is the author's time of publishing. It decides nothing.
 	At time.Time
 	// Tables is the new configuration.
@@ -49,6 +54,7 @@
 	ID     uuid.UUID       `json:"id"`
 	Author string          `json:"author"`
 	Base   uint64          `json:"base"`
+	Reset  uint64          `json:"reset,omitempty"`
 	At     time.Time       `json:"at"`
 	Tables json.RawMessage `json:"tables"`
 }
@@ -65,6 +71,7 @@
 		ID:     e.ID,
 		Author: e.Author,
 		Base:   e.Base,
+		Reset:  e.Reset,
 		At:     e.At.UTC(),
 		Tables: tables,
 	}
--- a/operator/tables_test.go
+++ b/operator/tables_test.go
@@ -89,6 +89,8 @@
 	decoded, err := operator.DecodeTables(body)
 	is.NoErr(err)
 	is.Equal(decoded, tables)
+	_, err = operator.DecodeTables(append(body, "{}"...))
+	is.True(err != nil)
 	again, err := decoded.Encode()
 	is.NoErr(err)
 	is.True(bytes.Equal(again, body))
--- a/operator/verdict.go
+++ b/operator/verdict.go
@@ -31,6 +31,8 @@
 	// UnknownBase means that the edit was made from a revision that does not
 	// exist yet.
 	UnknownBase Reason = "unknown-base"
+	// Misplaced means that a reset got another offset than it must have.
+	Misplaced Reason = "misplaced-reset"
 	// InvalidTables means that the edit's tables have faults.
 	InvalidTables Reason = "invalid-tables"
 	// ReusedID means that another edit came before with the same ID.
