--- a/backend/ejector.go
+++ b/backend/ejector.go
@@ -13,14 +13,17 @@
 	defaultWindow      = 10 * time.Second
 	defaultMaxEjected  = 0.5
 	defaultEjection    = 2 * time.Second
-	defaultMaxEjection = 5 * time.Minute
+	defaultMaxEjection = 2 * time.Minute
 	defaultCooling     = 100 * time.Millisecond
 	defaultMaxCooling  = 10 * time.Second
 	defaultTrials      = 3
-	defaultEvidence    = 7.0
+	defaultEvidence    = 9.0
 )
 
 const (
+	// backoffFactor is the factor by which each ejection or cooling is longer
+	// than the one before.
+	backoffFactor = 3
 	// probationSlots is the number of slots used on a server that has not
 	// yet run a task. Each success adds one.
 	probationSlots = 2
@@ -43,15 +46,15 @@
 	// once, in [0, 1]. The default is 0.5.
 	MaxEjected float64
 	// Evidence is the logarithm of the likelihood ratio, bad to good, at
-	// which a server is ejected. The default is 7.
+	// which a server is ejected. The default is 9.
 	Evidence float64
 	// Ejection is the length of a server's first ejection. Each further one
-	// is twice as long. The default is 2 s.
+	// is three times as long. The default is 2 s.
 	Ejection time.Duration
-	// MaxEjection bounds the length of an ejection. The default is 5 min.
+	// MaxEjection bounds the length of an ejection. The default is 2 min.
 	MaxEjection time.Duration
 	// Cooling is the time without tasks after a first refusal. Each further
-	// one in a row is twice as long. The default is 100 ms.
+	// one in a row is three times as long. The default is 100 ms.
 	Cooling time.Duration
 	// MaxCooling bounds the length of a cooling. The default is 10 s.
 	MaxCooling time.Duration
--- a/backend/evidence.go
+++ b/backend/evidence.go
@@ -9,10 +9,13 @@
 )
 
 const (
+	// trialEvidence is the part of the evidence for a first ejection that
+	// ends a trial.
+	trialEvidence = 1.0 / 3
 	// recentOutcomes is the number of outcomes kept of each route.
 	recentOutcomes = 64
 	// badServerRate is the share of tasks that a bad server is taken to fail.
-	badServerRate = 0.7
+	badServerRate = 0.9
 	// priorRate is the share of tasks that a good server is taken to fail
 	// before other servers' outcomes are known.
 	priorRate = 0.05
@@ -105,11 +108,12 @@
 	p := r.rate(h, now.Add(-e.cfg.Window))
 	h.score += max(0, math.Log(badServerRate/p))
 	r.add(seen{server: h, at: now, bad: true})
-	if h.state == trial && !o.Started.Before(h.since) {
+	if h.state == trial && !o.Started.Before(h.since) && h.score >= trialEvidence*e.cfg.Evidence {
 		e.move(now, h, condemned)
 		return
 	}
 	if h.score < e.cfg.Evidence {
+		e.recordFirst(now, h, o)
 		return
 	}
 	h.score = e.cfg.Evidence
@@ -118,6 +122,19 @@
 	}
 }
 
+// recordFirst cools a server of which no task has succeeded yet, since the
+// other servers' outcomes may come later than its quick failures.
+func (e *Ejector) recordFirst(now time.Time, h *health, o Observation) {
+	if h.successes > 0 || o.Started.Before(h.since) {
+		return
+	}
+	if _, ok := healthChart.Next(h.state, firstFailed); ok {
+		h.refusals++
+		h.trouble = now
+		e.move(now, h, firstFailed)
+	}
+}
+
 func (e *Ejector) recordGood(now time.Time, h *health, o Observation) {
 	r := e.route(o.Route)
 	if h.score > 0 {
@@ -180,11 +197,12 @@
 	}
 }
 
-// backoff returns first, doubled for each further time, and at most limit.
+// backoff returns first, multiplied by backoffFactor for each further time, and
+// at most limit.
 func backoff(first, limit time.Duration, times int) time.Duration {
 	d := first
 	for ; times > 1 && d < limit; times-- {
-		d *= 2
+		d *= backoffFactor
 	}
 	return min(d, limit)
 }
--- a/backend/health.go
+++ b/backend/health.go
@@ -23,12 +23,13 @@
 
 // The events of the health chart.
 var (
-	proved     = mustEvent("proved")
-	refused    = mustEvent("refused")
-	condemned  = mustEvent("condemned")
-	timePassed = mustEvent("time-passed")
-	leave      = mustEvent("leave")
-	stay       = mustEvent("stay")
+	proved      = mustEvent("proved")
+	refused     = mustEvent("refused")
+	firstFailed = mustEvent("first-failed")
+	condemned   = mustEvent("condemned")
+	timePassed  = mustEvent("time-passed")
+	leave       = mustEvent("leave")
+	stay        = mustEvent("stay")
 )
 
 // HealthChart returns the chart of a backend server's health.
--- a/backend/world_test.go
+++ b/backend/world_test.go
@@ -24,6 +24,8 @@
 	next   int
 	// started counts the started tasks, running those that run, by route.
 	started, running map[string]int
+	// startedOn counts the started tasks by server.
+	startedOn map[netip.AddrPort]int
 	// wasted counts the tasks that failed on a bad server.
 	wasted int
 	// ratios holds the response time over the longest task's run time of
@@ -78,14 +80,15 @@
 
 func newWorld(t testing.TB, seed uint64, routes []operator.Route, rows []operator.Server) *world {
 	w := &world{
-		h:       newHolding(t),
-		random:  rand.New(rand.NewPCG(seed, 0)),
-		now:     begin,
-		fakes:   map[netip.AddrPort]*fake{},
-		tasks:   map[int]*task{},
-		started: map[string]int{},
-		running: map[string]int{},
-		ratios:  map[string][]float64{},
+		h:         newHolding(t),
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		now:       begin,
+		fakes:     map[netip.AddrPort]*fake{},
+		tasks:     map[int]*task{},
+		started:   map[string]int{},
+		running:   map[string]int{},
+		startedOn: map[netip.AddrPort]int{},
+		ratios:    map[string][]float64{},
 	}
 	w.repeat(func() {})
 	w.h.SetRoutes(routes)
@@ -134,6 +137,7 @@
 		t := w.tasks[s.ID]
 		f := w.fakes[s.Server]
 		w.started[s.Route]++
+		w.startedOn[s.Server]++
 		w.running[s.Route]++
 		kind, run := backend.Done, time.Duration(float64(t.run)*f.factor)
 		if f.failAll {
