operator: show that each guard matters; hash tables once a revision

Cause: a guard that no test needs may go unnoticed; the state's hash encoded the whole tables at each edit.

--- a/operator/history.go
+++ b/operator/history.go
@@ -30,6 +30,8 @@
 	revision uint64
 	author   string
 	tables   *Tables
+	// tablesDigest is the hash of tables.
+	tablesDigest uint64
 	// recent holds the verdicts of the latest edits in order of decision.
 	recent []Verdict
 	// digests holds the state's digest after each change, in order.
@@ -205,7 +207,7 @@
 	v.RevisionAuthor = v.Author
 	h.revision = revision
 	h.author = v.Author
-	h.tables = tables
+	h.setTables(tables)
 }
 
 // decodeTables returns the tables of record, or notes why it is refused.
@@ -245,11 +247,23 @@
 	}
 }
 
+func (h *History) setTables(tables *Tables) {
+	body, err := tables.Encode()
+	if err != nil {
+		panic(err) // Every part of checked tables can be encoded.
+	}
+	h.tables = tables
+	h.tablesDigest = xxhash.Sum64(body)
+}
+
 // Digest returns a hash of the history's state but for its offset.
 func (h *History) Digest() uint64 {
-	s := h.state()
-	s.Offset = 0
-	body, err := json.Marshal(s)
+	body, err := json.Marshal(struct {
+		Revision uint64
+		Author   string
+		Tables   uint64
+		Recent   []Verdict
+	}{h.revision, h.author, h.tablesDigest, h.recent})
 	if err != nil {
 		panic(err) // Every part of a state was decoded from JSON or checked.
 	}
--- a/operator/history_test.go
+++ b/operator/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -121,3 +123,36 @@
 	is.True(!v.Mismatch)
 	is.Equal(v.SnapshotOffset, uint64(2))
 }
+
+// TestLargestTablesFit checks that the largest tables and verdicts fit into an
+// edit and a snapshot.
+func TestLargestTablesFit(t *testing.T) {
+	is := is.New(t)
+	name := strings.Repeat("n", operator.MaxNameBytes-4)
+	edit := newEdit(0, 0, operator.MaxShare)
+	edit.Author = strings.Repeat("<", operator.MaxAuthorBytes) // Six bytes each in JSON.
+	route, server := edit.Tables.Routes[0], edit.Tables.Pools[0].Servers[0]
+	edit.Tables = &operator.Tables{Pools: []operator.Pool{{Name: name}}}
+	route.Pool = name
+	for i := range operator.MaxRoutes {
+		route.Name = fmt.Sprintf("%s%04d", name, i)
+		edit.Tables.Routes = append(edit.Tables.Routes, route)
+	}
+	server.Zone, server.Rack = name+"zone", name+"rack"
+	for i := range operator.MaxServers {
+		address := netip.MustParseAddr(fmt.Sprintf("fd00:1111:2222:3333:4444:5555:6666:%x", 0x1000+i))
+		server.Address = netip.AddrPortFrom(address, 65535)
+		edit.Tables.Pools[0].Servers = append(edit.Tables.Pools[0].Servers, server)
+	}
+	h := operator.NewHistory()
+	is.Equal(apply(is, h, mustEncode(edit)).Outcome, operator.Accepted)
+
+	edit.Base = 1
+	edit.Tables = newTables(1)
+	edit.Tables.Routes[0].Pool = strings.Repeat("<", 1000)
+	for i := range operator.MaxRecentEdits {
+		edit.ID = newID(i + 1)
+		is.Equal(apply(is, h, mustEncode(edit)).Reason, operator.InvalidTables)
+	}
+	is.NoErr(operator.NewHistory().Adopt(h.Snapshot()))
+}
--- a/operator/publish_test.go
+++ b/operator/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,6 +51,16 @@
 	return l.page(from, limit), nil
 }
 
+func ExamplePublish() {
+	log := newFakeLog()
+	verdict, err := operator.Publish(context.Background(), log, newEdit(1, 0, 4))
+	fmt.Println(verdict.Outcome, verdict.Revision, err)
+	fmt.Println(verdict.Changes)
+	// Output:
+	// accepted 1 <nil>
+	// routes +previews; pools +editing; servers +127.0.0.1:7000
+}
+
 func TestPublish(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog()
--- a/operator/reader_test.go
+++ b/operator/reader_test.go
@@ -11,6 +11,28 @@
 	"github.com/amaranthwell/amaranthwell/operator"
 )
 
+func ExampleReader() {
+	// A log that keeps its records from offset 8 on.
+	page := operator.Page{First: 8, Next: 9, Records: []operator.Record{
+		{Offset: 8, Body: mustEncode(newEdit(2, 1, 2))},
+	}}
+	reader := operator.NewReader()
+	_, err := reader.Page(page)
+	fmt.Println(reader.Gap(), reader.Next(), err)
+
+	peer := operator.NewHistory()
+	for offset := uint64(1); offset < 8; offset++ {
+		_, _ = peer.Apply(offset, mustEncode(newEdit(1, 0, 1)))
+	}
+	fmt.Println(reader.Adopt(peer.Snapshot()), reader.Gap(), reader.Next())
+	_, err = reader.Page(page)
+	fmt.Println(reader.History().Revision(), err)
+	// Output:
+	// true 9 <nil>
+	// <nil> false 8
+	// 2 <nil>
+}
+
 // world is a log, its readers, and what is under way between them.
 type world struct {
 	// records holds every record ever appended; the log keeps those from
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -101,7 +101,7 @@
 		if err != nil {
 			return nil, &SnapshotError{Offset: s.Offset, Reason: err.Error()}
 		}
-		h.tables = tables
+		h.setTables(tables)
 	}
 	h.noteDigest()
 	return h, nil
