--- a/caller/answer.go
+++ b/caller/answer.go
@@ -47,6 +47,24 @@
 	return body
 }
 
+// answer returns the Answer that the body holds, and an error if its
+// retry-after is no duration.
+func (b answerBody) answer() (Answer, error) {
+	answer := Answer{
+		Key:     b.Key,
+		Status:  b.Status,
+		Reason:  b.Reason,
+		Message: b.Message,
+		Results: b.Results,
+	}
+	if b.RetryAfter == "" {
+		return answer, nil
+	}
+	retryAfter, err := time.ParseDuration(b.RetryAfter)
+	answer.RetryAfter = retryAfter
+	return answer, err
+}
+
 // answerCode returns the HTTP status code of an answer:
 //
 //	200 complete
