caller: send results with complete answers only

Cause: an answer is complete or has no result, and the handler passed on whatever the Submitter gave. Change: newAnswerBody leaves the results out unless the status is complete. The Book says what a repeat of a job refused for overload is told.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -32,14 +32,17 @@
 	Message string       `json:"message"`
 }
 
-// newAnswerBody returns the HTTP body of answer.
+// newAnswerBody returns the HTTP body of answer. Only a complete answer has
+// results there.
 func newAnswerBody(answer Answer) answerBody {
 	body := answerBody{
 		Key:     answer.Key,
 		Status:  answer.Status,
 		Reason:  answer.Reason,
 		Message: answer.Message,
-		Results: answer.Results,
+	}
+	if answer.Status == Complete {
+		body.Results = answer.Results
 	}
 	if answer.RetryAfter > 0 {
 		body.RetryAfter = answer.RetryAfter.String()
--- a/caller/book.go
+++ b/caller/book.go
@@ -41,7 +41,9 @@
 //
 // A job refused for overload, by the Book at MaxRecords or by Finish, costs
 // one bit in a set that covers the serials of the last UseWithin, not a
-// record. The set is bounded: see refusals.
+// record. The set has at most MaxRecords blocks, of 80 bytes each; see
+// refusals. A repeat of such a job is answered with the same status and
+// reason, without the first answer's message and RetryAfter.
 //
 // A Book is not safe for concurrent use: the control goroutine owns it.
 type Book[W any] struct {
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -94,7 +94,7 @@
 		{caller.Answer{Status: caller.NotRun, Reason: caller.ReasonOverload, RetryAfter: 1500 * time.Millisecond}, 429, "2"},
 		{caller.Answer{Status: caller.NotRun, Reason: caller.ReasonLeaving, RetryAfter: time.Millisecond}, 503, "1"},
 		{caller.Answer{Status: caller.NotRun, Reason: caller.ReasonRoute}, 503, ""},
-		{caller.Answer{Status: caller.Failed, Reason: caller.ReasonTask}, 502, ""},
+		{caller.Answer{Status: caller.Failed, Reason: caller.ReasonTask, Results: [][]byte{{}}}, 502, ""},
 		{caller.Answer{Status: caller.Unknown, Reason: caller.ReasonOwner}, 504, ""},
 	}
 	for _, test := range tests {
@@ -108,6 +108,7 @@
 		w := do(h, http.MethodPost, "/v1/jobs", `{"route":"r","tasks":[""]}`)
 		is.Equal(w.Code, test.code)
 		is.Equal(w.Header().Get("Retry-After"), test.retryAfter)
+		is.Equal(strings.Contains(w.Body.String(), "results"), test.answer.Status == caller.Complete)
 		_, err := caller.ParseKey(w.Header().Get(caller.NextKeyHeader))
 		is.NoErr(err)
 	}
