--- a/backend/flood_test.go
+++ b/backend/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -53,6 +54,29 @@
 	}
 }
 
+// TestLentSlotsReturn has a flood take all slots, and then another route ask
+// for its guarantee: it must have it after one task's length.
+func TestLentSlotsReturn(t *testing.T) {
+	for flooding, shares := range map[string]int{"preview": 6, "share": 1} {
+		is := is.New(t)
+		w := newWorld(t, 1, threeRoutes, servers(10, 8))
+		w.repeat(func() {
+			if load := w.h.Load(); load.Free > 0 || load.Waiting() < 1 {
+				w.submit(flooding, repeated(100, time.Second)...)
+			}
+		})
+		w.run(20 * time.Second)
+		is.Equal(w.running[flooding], 80)
+		w.submit("retouch", repeated(100, time.Second)...)
+		w.run(time.Second + tickEvery)
+		// The guarantee is 3/10 of 80 slots, 24. What the third route does
+		// not use is lent by share, so that 80 slots are split 3 to shares.
+		want := 80 * 3 / float64(3+shares)
+		is.True(math.Abs(float64(w.running["retouch"])-want) <= 1)
+		is.Equal(w.running[flooding], 80-w.running["retouch"])
+	}
+}
+
 func repeated(n int, run time.Duration) []time.Duration {
 	runs := make([]time.Duration, n)
 	for i := range runs {
@@ -143,5 +167,9 @@
 		is.Equal(s.ID, want)
 	}
 	is.True(!h.Remove(7))
-	is.Equal(h.Load(), backend.Load{Slots: 2})
+	load := h.Load()
+	is.Equal(load.Slots, 2)
+	is.Equal(load.Free, 0)
+	is.Equal(len(load.Idle), 0)
+	is.Equal(load.Waiting(), 0)
 }
