--- a/backend/flood_test.go
+++ b/backend/flood_test.go
@@ -105,9 +105,9 @@
 	}
 }
 
-// TestGuaranteeProperty checks that when all routes always have tasks waiting,
-// each has its whole guaranteed slots after one task's length, for any shares,
-// urgencies and servers.
+// TestGuaranteeProperty has one route use all slots, and then all the others
+// ask for theirs. Each must have its whole guaranteed slots after one task's
+// length, for any shares, urgencies and servers.
 func TestGuaranteeProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 6).Draw(rt, "routes")
@@ -127,6 +127,9 @@
 		flooding := rapid.IntRange(0, n-1).Draw(rt, "flooding")
 		w.submit(routes[flooding].Name, repeated(1000, time.Second)...)
 		w.run(10 * time.Second) // The servers' probation ends.
+		if w.h.Load().Free > 0 {
+			rt.Fatalf("%d slots are not lent", w.h.Load().Free)
+		}
 		for i, r := range routes {
 			if i != flooding {
 				w.submit(r.Name, repeated(300, time.Second)...)
