--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,5 @@
 	  --go_out=. --go_opt=module=github.com/amaranthwell/amaranthwell \
 	  --go-drpc_out=. --go-drpc_opt=module=github.com/amaranthwell/amaranthwell \
 	  peer/peer.proto
+
+-include *.mk
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -6,11 +6,11 @@
 	"github.com/amaranthwell/amaranthwell/platform"
 )
 
-// Record and Page are what a read of the log returns.
-type (
-	Record = platform.Record
-	Page   = platform.Page
-)
+// A Record is one record of a stream of the log.
+type Record = platform.Record
+
+// A Page is what one read of a stream returned.
+type Page = platform.Page
 
 // A PageError reports a page that cannot follow what the reader has applied.
 type PageError struct {
