entry: number the submissions that are passed on to an owner

Cause: an instance kept one relay a key, so that two different jobs sent under one key through it shared the first answer that came: the first caller was told key-reused, or the second could get the first one's results. Change: each submission has a number of its own, which the answer carries back. Before: TestAnotherJobUnderTheSameKeyGetsNoneOfItsResults fails (unknown != complete).

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -27,8 +27,10 @@
 	// offered is when a snapshot was last sent to a peer that is behind.
 	offered map[netip.AddrPort]time.Time
 
-	// relays holds the submissions that wait for their keys' owners.
-	relays map[caller.Key]*relay
+	// relays holds the submissions that wait for their keys' owners, by
+	// their request numbers, and requests is the last of those.
+	relays   map[uint64]*relay
+	requests uint64
 	// jobs holds the jobs that this instance owns and that have not ended.
 	jobs map[caller.Key]*job
 	// queues holds the owned jobs with tasks to be given out, by route.
@@ -57,6 +59,8 @@
 type waiter struct {
 	caller CallerID
 	peer   netip.AddrPort
+	// request is the peer's number for the submission.
+	request uint64
 }
 
 // New returns an Instance without configuration or peers. It returns an error
@@ -86,7 +90,7 @@
 			Incarnation: cfg.Incarnation,
 		}),
 		offered:  make(map[netip.AddrPort]time.Time),
-		relays:   make(map[caller.Key]*relay),
+		relays:   make(map[uint64]*relay),
 		jobs:     make(map[caller.Key]*job),
 		queues:   make(map[string]*queue),
 		held:     make(map[caller.Key]*heldJob),
--- a/entry/instance_test.go
+++ b/entry/instance_test.go
@@ -154,3 +154,24 @@
 		is.True(most <= 8) // slots
 	}
 }
+
+func TestAnotherJobUnderTheSameKeyGetsNoneOfItsResults(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(7, 3, 6)
+	w.run(settle)
+	key := w.key(instanceAddress(0))
+	job := caller.Job{Key: key, Route: "previews", Tasks: payloads(4)}
+	other := caller.Job{Key: key, Route: "previews", Tasks: payloads(5)}
+	relay := instanceAddress(1)
+	first := w.submit(relay, job)
+	second := w.submit(relay, other)
+	repeat := w.submit(relay, job)
+	w.run(2 * time.Second)
+	for _, id := range []entry.CallerID{first, repeat} {
+		is.Equal(len(w.answers[id]), 1)
+		mustBeWhole(is, w.answers[id][0], job.Tasks)
+	}
+	is.Equal(len(w.answers[second]), 1)
+	is.Equal(w.answers[second][0].Status, caller.Unknown)
+	is.Equal(w.answers[second][0].Reason, caller.ReasonMismatch)
+}
--- a/entry/job.go
+++ b/entry/job.go
@@ -266,6 +266,7 @@
 	}
 	box := i.outbox(w.peer)
 	box.env.Answers = append(box.env.Answers, &peer.Answer{
+		Request:         w.request,
 		Key:             keyBytes(a.Key),
 		Status:          string(a.Status),
 		Reason:          string(a.Reason),
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -58,10 +58,9 @@
 // resync asks the peer at addr again for all that it owes this instance, and
 // tells it again what it may forget.
 func (i *Instance) resync(now time.Time, addr netip.AddrPort) {
-	for _, key := range sortedKeys(i.relays) {
-		if key.Owner == addr {
-			r := i.relays[key]
-			i.sendSubmit(now, r, r.job)
+	for _, request := range sorted(i.relays) {
+		if r := i.relays[request]; r.job.Key.Owner == addr {
+			i.sendSubmit(now, r)
 		}
 	}
 	for _, key := range sortedKeys(i.jobs) {
@@ -98,7 +97,7 @@
 	if !ok {
 		return
 	}
-	i.own(now, waiter{peer: addr}, caller.Job{
+	i.own(now, waiter{peer: addr, request: s.Request}, caller.Job{
 		Key:     key,
 		Route:   s.Route,
 		Timeout: time.Duration(s.TimeoutNanos),
@@ -111,7 +110,7 @@
 	if !ok {
 		return
 	}
-	i.relayed(caller.Answer{
+	i.relayed(a.Request, caller.Answer{
 		Key:        key,
 		Status:     caller.Status(a.Status),
 		Reason:     caller.Reason(a.Reason),
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -11,9 +11,11 @@
 
 // A relay is a submission that waits at this instance for its key's owner.
 type relay struct {
+	// request is this instance's number for the submission.
+	request uint64
 	job     caller.Job
-	callers []CallerID
-	// deadline is when the callers are told that the outcome is unknown.
+	caller  CallerID
+	// deadline is when the caller is told that the outcome is unknown.
 	deadline time.Time
 }
 
@@ -55,19 +57,14 @@
 		i.answerCaller(id, caller.Answer{Key: job.Key, Status: caller.Unknown, Reason: reason})
 		return
 	}
-	r := i.relays[job.Key]
-	if r == nil {
-		r = &relay{job: job}
-		i.relays[job.Key] = r
-	}
-	r.callers = append(r.callers, id)
 	timeout := job.Timeout
 	if timeout == 0 {
 		timeout = defaultRelayTimeout
 	}
-	r.deadline = now.Add(timeout + relayGrace)
-	// A repeat may differ from the first one; the owner is to judge it.
-	i.sendSubmit(now, r, job)
+	i.requests++
+	r := &relay{request: i.requests, job: job, caller: id, deadline: now.Add(timeout + relayGrace)}
+	i.relays[r.request] = r
+	i.sendSubmit(now, r)
 }
 
 // unreachable says why a key's owner cannot be asked, if it cannot.
@@ -81,13 +78,14 @@
 	return "", false
 }
 
-func (i *Instance) sendSubmit(now time.Time, r *relay, job caller.Job) {
-	box := i.outbox(job.Key.Owner)
+func (i *Instance) sendSubmit(now time.Time, r *relay) {
+	box := i.outbox(r.job.Key.Owner)
 	box.env.Submits = append(box.env.Submits, &peer.Submit{
-		Key:          keyBytes(job.Key),
-		Route:        job.Route,
-		TimeoutNanos: int64(min(job.Timeout, r.deadline.Sub(now))),
-		Tasks:        job.Tasks,
+		Request:      r.request,
+		Key:          keyBytes(r.job.Key),
+		Route:        r.job.Route,
+		TimeoutNanos: int64(min(r.job.Timeout, r.deadline.Sub(now))),
+		Tasks:        r.job.Tasks,
 	})
 	box.urgent = true
 }
@@ -103,32 +101,33 @@
 	box.urgent = true
 }
 
-// relayed passes an owner's answer on to the callers that wait for it.
-func (i *Instance) relayed(a caller.Answer) {
-	r := i.relays[a.Key]
-	if r == nil {
+// relayed passes an owner's answer on to the caller that waits for it.
+func (i *Instance) relayed(request uint64, a caller.Answer) {
+	r := i.relays[request]
+	if r == nil || r.job.Key != a.Key {
 		return
 	}
-	delete(i.relays, a.Key)
-	for _, id := range r.callers {
-		i.answerCaller(id, a)
-	}
+	delete(i.relays, request)
+	i.answerCaller(r.caller, a)
 }
 
 // expireRelays answers the callers whose owners have not answered in time or
 // have ended.
 func (i *Instance) expireRelays(now time.Time) {
-	var due []caller.Answer
-	for key, r := range i.relays {
-		if i.members.Ended(key.Owner, key.Incarnation) {
-			due = append(due, caller.Answer{Key: key, Status: caller.Unknown, Reason: caller.ReasonOwnerGone})
-		} else if !now.Before(r.deadline) {
-			due = append(due, caller.Answer{Key: key, Status: caller.Unknown, Reason: caller.ReasonOwner})
+	var due []uint64
+	for request, r := range i.relays {
+		if !now.Before(r.deadline) || i.members.Ended(r.job.Key.Owner, r.job.Key.Incarnation) {
+			due = append(due, request)
 		}
 	}
-	slices.SortFunc(due, func(a, b caller.Answer) int { return compareKeys(a.Key, b.Key) })
-	for _, a := range due {
-		i.relayed(a)
+	slices.Sort(due)
+	for _, request := range due {
+		key := i.relays[request].job.Key
+		reason := caller.ReasonOwner
+		if i.members.Ended(key.Owner, key.Incarnation) {
+			reason = caller.ReasonOwnerGone
+		}
+		i.relayed(request, caller.Answer{Key: key, Status: caller.Unknown, Reason: reason})
 	}
 }
 
