entry: queue tasks by their job's arrival and a lag for their place in it

Change: owner and holder order a route's tasks by the job's arrival plus a lag, a sixth of the route's run time for each earlier task of the job; the owner's queue is a heap.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"net/netip"
 	"slices"
 	"time"
@@ -10,11 +11,12 @@
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
-// A queue holds the jobs of one route with tasks to be given out, by arrival.
+// A queue holds the jobs of one route with tasks to be given out, in the order
+// in which those are due.
 type queue struct {
 	route   string
 	urgency int
-	jobs    []*job
+	jobs    jobHeap
 	// waiting is the number of the jobs' tasks that no holder has.
 	waiting int
 	drain   drain
@@ -28,13 +30,8 @@
 	j.queued = true
 	q := i.queue(j.route)
 	q.waiting += j.waiting()
-	at, _ := slices.BinarySearchFunc(q.jobs, j, func(a, b *job) int {
-		if c := a.arrived.Compare(b.arrived); c != 0 {
-			return c
-		}
-		return compareKeys(a.key, b.key)
-	})
-	q.jobs = slices.Insert(q.jobs, at, j)
+	j.due = i.dueAt(j)
+	heap.Push(&q.jobs, j)
 }
 
 // dequeue takes a job out of its route's queue.
@@ -45,9 +42,18 @@
 	j.queued = false
 	q := i.queues[j.route.Name]
 	q.waiting -= j.waiting()
-	if at := slices.Index(q.jobs, j); at >= 0 {
-		q.jobs = slices.Delete(q.jobs, at, at+1)
+	heap.Remove(&q.jobs, j.at)
+}
+
+// dueAt returns the time by which the next task of j queues: its job's arrival
+// and a lag for its place in the job, so that a large job does not hold up small
+// ones.
+func (i *Instance) dueAt(j *job) time.Time {
+	p := i.pools[j.route.Pool]
+	if p == nil {
+		return j.arrived
 	}
+	return j.arrived.Add(p.holding.Lag(j.route.Name, j.next))
 }
 
 // queue returns the queue of a route.
@@ -81,45 +87,50 @@
 	}
 }
 
-// dispatchRoute gives out the tasks of one route, the oldest job's first.
+// dispatchRoute gives out the tasks of one route in the order in which they are
+// due, while holders have room.
 func (i *Instance) dispatchRoute(now time.Time, q *queue) {
 	sent := 0
-	kept := q.jobs[:0]
-	for at, j := range q.jobs {
-		n, full := i.dispatchJob(now, j)
-		sent += n
-		q.waiting -= n
-		if j.waiting() == 0 {
-			j.queued = false
+	var paused []*job
+	for len(q.jobs) > 0 {
+		j := q.jobs[0]
+		if now.Before(j.notBefore) {
+			heap.Pop(&q.jobs)
+			paused = append(paused, j)
 			continue
 		}
-		kept = append(kept, j)
-		if full {
-			kept = append(kept, q.jobs[at+1:]...)
+		if !i.giveNext(now, q, j) {
 			break
 		}
+		sent++
+	}
+	for _, j := range paused {
+		heap.Push(&q.jobs, j)
 	}
-	clear(q.jobs[len(kept):])
-	q.jobs = kept
-	q.drain.observe(now, sent, len(kept) > 0)
+	q.drain.observe(now, sent, len(q.jobs) > 0)
 }
 
-// dispatchJob gives out the tasks of one job. It returns their number, and
-// whether no holder has room for more of the job's route.
-func (i *Instance) dispatchJob(now time.Time, j *job) (sent int, full bool) {
+// giveNext gives out the next task of the job that is due first. It returns
+// false if no holder has room.
+func (i *Instance) giveNext(now time.Time, q *queue, j *job) bool {
 	p := i.pools[j.route.Pool]
-	if p == nil || now.Before(j.notBefore) {
-		return 0, p == nil
+	if p == nil {
+		return false
 	}
-	for j.waiting() > 0 {
-		addr, ok := p.spread.Pick(j.route.Name, i.members.Live)
-		if !ok {
-			return sent, true
-		}
-		i.give(now, p, j, j.take(), addr)
-		sent++
+	addr, ok := p.spread.Pick(j.route.Name, i.members.Live)
+	if !ok {
+		return false
+	}
+	q.waiting--
+	i.give(now, p, j, j.take(), addr)
+	if j.waiting() == 0 {
+		heap.Remove(&q.jobs, j.at)
+		j.queued = false
+		return true
 	}
-	return sent, false
+	j.due = i.dueAt(j)
+	heap.Fix(&q.jobs, j.at)
+	return true
 }
 
 // give hands a task to the holder at addr.
--- a/entry/held.go
+++ b/entry/held.go
@@ -55,7 +55,13 @@
 		return
 	}
 	h.pool = p.name
-	p.holding.Push(now, backend.Task[*Task]{ID: t, Route: h.route, Arrived: arrived, Deadline: deadline})
+	p.holding.Push(now, backend.Task[*Task]{
+		ID:       t,
+		Route:    h.route,
+		Index:    int(in.Index),
+		Arrived:  arrived,
+		Deadline: deadline,
+	})
 }
 
 // startHeld decides which waiting tasks start now.
--- a/entry/job.go
+++ b/entry/job.go
@@ -51,7 +51,11 @@
 	holders map[netip.AddrPort]bool
 	// notBefore is when a returned task may be given out again.
 	notBefore time.Time
-	queued    bool
+	// queued says that the job is in its route's queue, at the place at, with
+	// its next task due by the time due.
+	queued bool
+	at     int
+	due    time.Time
 }
 
 // waiting returns the number of tasks that no holder has.
