--- a/cmd/amaranthwell-load/recorder.go
+++ b/cmd/amaranthwell-load/recorder.go
@@ -34,6 +34,8 @@
 	losses        int
 	// cancelled counts the jobs that their clients meant to cancel.
 	cancelled int
+	// slowest holds the complete jobs of the largest ratios, largest first.
+	slowest []slowJob
 }
 
 func newRouteRecord() *routeRecord {
@@ -156,6 +158,7 @@
 	response := o.end.Sub(o.submission.start)
 	ratio := float64(response) / float64(ideal(j, meanSpeed, fleetSlots))
 	_ = rr.ratios.RecordValue(min(int64(ratio*ratioUnit), topRatio))
+	rr.addSlow(newSlowJob(o, ratio, response))
 }
 
 // sum returns the records of several routes together.
@@ -171,6 +174,9 @@
 
 func (rr *routeRecord) merge(other *routeRecord) {
 	rr.ratios.Merge(other.ratios)
+	for _, j := range other.slowest {
+		rr.addSlow(j)
+	}
 	rr.jobs += other.jobs
 	rr.offeredTasks += other.offeredTasks
 	rr.completeTasks += other.completeTasks
--- a/cmd/amaranthwell-load/recorder_test.go
+++ b/cmd/amaranthwell-load/recorder_test.go
@@ -64,3 +64,15 @@
 	is.Equal(r.StartedTwice, 1)
 	is.Equal(r.UselessStartsPerTask, 0.5) // 8 starts, 4 tasks in complete answers.
 }
+
+func TestSlowestJobsAreTheLargestRatios(t *testing.T) {
+	is := is.New(t)
+	rr := newRouteRecord()
+	for i := range 3 * maxSlowJobs {
+		rr.addSlow(slowJob{Ratio: float64(i * 7 % (3 * maxSlowJobs))}) // 7 and 30 share no factor: every ratio once.
+	}
+	is.Equal(len(rr.slowest), maxSlowJobs)
+	for i, j := range rr.slowest {
+		is.Equal(j.Ratio, float64(3*maxSlowJobs-1-i))
+	}
+}
--- a/cmd/amaranthwell-load/result.go
+++ b/cmd/amaranthwell-load/result.go
@@ -70,6 +70,7 @@
 	CancelledJobs     int            `toml:"cancelled-jobs,omitempty"`
 	Statuses          map[string]int `toml:"statuses"`
 	Reasons           map[string]int `toml:"reasons,omitempty"`
+	Slowest           []slowJob      `toml:"slowest,omitempty"`
 }
 
 func newRouteResult(rr *routeRecord, length time.Duration) routeResult {
@@ -86,6 +87,7 @@
 		CancelledJobs:        rr.cancelled,
 		Statuses:             rr.statuses,
 		Reasons:              rr.reasons,
+		Slowest:              rr.slowest,
 	}
 }
 
