--- a/cmd/amaranthwell-load/faults.go
+++ b/cmd/amaranthwell-load/faults.go
@@ -11,15 +11,16 @@
 // faultEntry is the entry instance that faults happen to.
 const faultEntry = 2
 
-// faultTime is when in a phase the faults of processes happen.
+// faultTime is when in a phase the faults happen, within its window, so that
+// the figures hold what the faults cost before they are noticed.
 const faultTime = settleFaults + 2*time.Second
 
 func faultScenarios(*fleet) []scenario {
 	return []scenario{
 		comparedScenario("failing-servers", "One backend server in ten fails everything that it starts.",
-			phase{events: []event{{name: "fail", do: setFaults(fault{FailAll: true})}}}),
+			phase{events: []event{{at: faultTime, name: "fail", do: setFaults(fault{FailAll: true})}}, settle: settleFaults}),
 		comparedScenario("slow-servers", "One backend server in ten runs 10 times slower.",
-			phase{events: []event{{name: "slow", do: setFaults(fault{SlowFactor: 10})}}}),
+			phase{events: []event{{at: faultTime, name: "slow", do: setFaults(fault{SlowFactor: 10})}}, settle: settleFaults}),
 		comparedScenario("vanished-servers", "One backend server in ten vanishes and stays on the list.",
 			phase{events: []event{{at: faultTime, name: "vanish", do: setFaults(fault{Vanish: true})}}, settle: settleFaults}),
 		comparedScenario("server-leaving", "One backend server in ten leaves.",
--- a/cmd/amaranthwell-load/scenario.go
+++ b/cmd/amaranthwell-load/scenario.go
@@ -53,7 +53,7 @@
 	usualLoad    = 0.7
 	floodLoad    = 10.0
 	settleTime   = 3 * time.Second
-	settleFaults = time.Second
+	settleFaults = 2 * time.Second
 	windowTime   = 12 * time.Second
 	rollingTime  = 60 * time.Second
 	pauseTime    = 5 * time.Second
