amaranthwell-load: give a leaving entry instance the time of its keys

Cause: an instance stays until the keys that it gave can no longer be used (30 s); the rolling scenario killed it after 20 s.

--- a/cmd/amaranthwell-load/faults.go
+++ b/cmd/amaranthwell-load/faults.go
@@ -6,11 +6,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // faultEntry is the entry instance that faults happen to.
 const faultEntry = 2
 
+// leaveTimeout bounds the time in which an entry instance ends after SIGTERM. It
+// is longer than a key that the instance gave to a caller can be used.
+const leaveTimeout = 90 * time.Second
+
 // faultTime is when in a phase the faults happen, within its window, so that
 // the figures hold what the faults cost before they are noticed.
 const faultTime = settleFaults + 2*time.Second
@@ -36,8 +41,13 @@
 				{at: faultTime, name: "pause", do: signalEntry(syscall.SIGSTOP)},
 				{at: faultTime + pauseTime, name: "continue", do: signalEntry(syscall.SIGCONT)},
 			}, settle: settleFaults}),
-		comparedScenario("rolling", "All entry instances are replaced one after the other with SIGTERM.",
-			phase{events: []event{{at: faultTime, name: "roll", do: rollEntries}}, settle: settleFaults, length: rollingTime}),
+		{
+			name: "rolling", description: "All entry instances are replaced with SIGTERM, two at a time (needs its whole window).",
+			phases: []phase{{
+				name: "rolling", load: usualLoad, settle: settleFaults, length: rollingTime,
+				events: []event{{at: faultTime, name: "roll", do: rollEntries}},
+			}},
+		},
 	}
 }
 
@@ -97,22 +107,32 @@
 	return b.waitEntryReady(ctx, faultEntry)
 }
 
-// rollEntries replaces the entry instances one after the other, each as the
-// platform does: listed as leaving, told to stop, and started again.
+// rollEntries replaces the entry instances, two at a time.
 func rollEntries(ctx context.Context, b *bench) error {
-	for i, e := range b.fleet.entries {
-		if err := b.platform.list(ctx, e.peer, "entry", e.zone, true); err != nil {
-			return err
-		}
-		if !b.entries[i].stop(stopTimeout) {
-			return errors.Newf("%s did not end by itself after SIGTERM", entryName(i))
-		}
-		if err := b.startEntry(ctx, i); err != nil {
-			return err
-		}
-		if err := b.waitEntryReady(ctx, i); err != nil {
+	half := len(b.fleet.entries) / 2
+	for i := range half {
+		var pair errgroup.Group
+		pair.Go(func() error { return replaceEntry(ctx, b, i) })
+		pair.Go(func() error { return replaceEntry(ctx, b, i+half) })
+		if err := pair.Wait(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// replaceEntry replaces entry instance i as the platform does: it is listed as
+// leaving, told to stop, and started again.
+func replaceEntry(ctx context.Context, b *bench, i int) error {
+	e := b.fleet.entries[i]
+	if err := b.platform.list(ctx, e.peer, "entry", e.zone, true); err != nil {
+		return err
+	}
+	if !b.entries[i].stop(leaveTimeout) {
+		return errors.Newf("%s did not end by itself after SIGTERM", entryName(i))
+	}
+	if err := b.startEntry(ctx, i); err != nil {
+		return err
+	}
+	return b.waitEntryReady(ctx, i)
+}
