--- a/cmd/amaranthwell-load/client.go
+++ b/cmd/amaranthwell-load/client.go
@@ -69,6 +69,8 @@
 	// submissions counts the keys used, losses the connections that broke.
 	submissions int
 	losses      int
+	// lag is how late the client began.
+	lag time.Duration
 }
 
 // statusLost is the status of a job without any answer.
@@ -80,6 +82,7 @@
 	o := outcome{submission: s, status: statusLost}
 	key, err := c.takeKey(ctx, s)
 	sleepUntil(ctx, s.start)
+	o.lag = time.Since(s.start)
 	deadline := s.start.Add(jobTimeout)
 	for ; ; key, err = c.takeKey(ctx, s) {
 		o.submissions++
--- a/cmd/amaranthwell-load/recorder.go
+++ b/cmd/amaranthwell-load/recorder.go
@@ -7,12 +7,13 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Histograms hold ratios in thousandths.
+// Histograms hold ratios in thousandths and lags in microseconds.
 const (
 	ratioUnit   = 1000
 	lowestRatio = 1
 	topRatio    = 10_000 * ratioUnit
 	digits      = 3
+	topLag      = int64(time.Minute / time.Microsecond)
 )
 
 // A window is the measured part of a phase: the jobs whose intended start
@@ -25,6 +26,7 @@
 // A routeRecord counts the jobs of one route in a window.
 type routeRecord struct {
 	ratios        *hdrhistogram.Histogram
+	lags          *hdrhistogram.Histogram
 	jobs          int
 	offeredTasks  int
 	completeTasks int
@@ -41,6 +43,7 @@
 func newRouteRecord() *routeRecord {
 	return &routeRecord{
 		ratios:   hdrhistogram.New(lowestRatio, topRatio, digits),
+		lags:     hdrhistogram.New(1, topLag, digits),
 		statuses: make(map[string]int),
 		reasons:  make(map[string]int),
 	}
@@ -141,6 +144,7 @@
 	j := o.submission.job
 	rr.submissions += o.submissions
 	rr.losses += o.losses
+	_ = rr.lags.RecordValue(min(o.lag.Microseconds(), topLag))
 	rr.statuses[o.status]++
 	if o.reason != "" {
 		rr.reasons[o.reason]++
@@ -174,6 +178,7 @@
 
 func (rr *routeRecord) merge(other *routeRecord) {
 	rr.ratios.Merge(other.ratios)
+	rr.lags.Merge(other.lags)
 	for _, j := range other.slowest {
 		rr.addSlow(j)
 	}
--- a/cmd/amaranthwell-load/result.go
+++ b/cmd/amaranthwell-load/result.go
@@ -64,8 +64,11 @@
 	ResponseOverIdealP90 float64 `toml:"response-over-ideal-p90"`
 	ResponseOverIdealP99 float64 `toml:"response-over-ideal-p99"`
 	// Throughput is the tasks of complete answers a second.
-	Throughput        float64        `toml:"throughput"`
-	SubmissionsPerJob float64        `toml:"submissions-per-job"`
+	Throughput        float64 `toml:"throughput"`
+	SubmissionsPerJob float64 `toml:"submissions-per-job"`
+	// ClientLagP99 is how late the load program itself began its jobs, so
+	// that its own part in the response times can be told.
+	ClientLagP99      string         `toml:"client-lag-p99"`
 	BrokenConnections int            `toml:"broken-connections"`
 	CancelledJobs     int            `toml:"cancelled-jobs,omitempty"`
 	Statuses          map[string]int `toml:"statuses"`
@@ -83,6 +86,7 @@
 		ResponseOverIdealP99: rr.ratio(99),
 		Throughput:           round(float64(rr.completeTasks) / length.Seconds()),
 		SubmissionsPerJob:    round(float64(rr.submissions) / float64(jobs)),
+		ClientLagP99:         (time.Duration(rr.lags.ValueAtPercentile(99)) * time.Microsecond).String(),
 		BrokenConnections:    rr.losses,
 		CancelledJobs:        rr.cancelled,
 		Statuses:             rr.statuses,
