--- a/caller/answer.go
+++ b/caller/answer.go
@@ -32,14 +32,17 @@
 	Message string       `json:"message"`
 }
 
-// newAnswerBody returns the HTTP body of answer.
+// newAnswerBody returns the HTTP body of answer. Only a complete answer has
+// results there.
 func newAnswerBody(answer Answer) answerBody {
 	body := answerBody{
 		Key:     answer.Key,
 		Status:  answer.Status,
 		Reason:  answer.Reason,
 		Message: answer.Message,
-		Results: answer.Results,
+	}
+	if answer.Status == Complete {
+		body.Results = answer.Results
 	}
 	if answer.RetryAfter > 0 {
 		body.RetryAfter = answer.RetryAfter.String()
@@ -47,6 +50,24 @@
 	return body
 }
 
+// answer returns the Answer that the body holds, and an error if its
+// retry-after is no duration.
+func (b answerBody) answer() (Answer, error) {
+	answer := Answer{
+		Key:     b.Key,
+		Status:  b.Status,
+		Reason:  b.Reason,
+		Message: b.Message,
+		Results: b.Results,
+	}
+	if b.RetryAfter == "" {
+		return answer, nil
+	}
+	retryAfter, err := time.ParseDuration(b.RetryAfter)
+	answer.RetryAfter = retryAfter
+	return answer, err
+}
+
 // answerCode returns the HTTP status code of an answer:
 //
 //	200 complete
