entry, peer, backend: refuse what a flood cannot answer in time

Cause: in a flood of the least urgent route at 10 times the fleet, a quarter of the started tasks was in vain, jobs ended as timeout or outcome-lost, and a backend server of 8 slots had 10 tasks more waiting. The HTTP request of a task ended with its job's timeout, while the task ran on: its slot was given away again, and the outcome was lost. 2. A task that could no longer end in time went back and forth between its owner and the holders, as if it had been refused by chance. 3. The queue's rate counted tasks that left it, also by being given up, so that the longer the queue the faster it seemed. 4. An owner kept filling idle slots that their holder leaves idle because they are too slow for what waits: the queue grew at the holders without bound. Ruled out: the count of waiting tasks (a world of 6 instances under the same flood refused rightly), a burst before the rate is known (a first guess from the route's share changed nothing measurable, and is kept for the first second). Change: a task's end is awaited 30 s beyond its timeout; an overdue task ends its job; the rate counts tasks that ran; tasks that wait at a holder count against its idle slots.

--- a/backend/client.go
+++ b/backend/client.go
@@ -21,6 +21,7 @@
 	defaultDialTimeout   = time.Second
 	defaultIdleTimeout   = 30 * time.Second
 	defaultMaxResultSize = 16 << 20
+	defaultLinger        = 30 * time.Second
 )
 
 // ClientConfig configures a Client. A zero field means its default.
@@ -36,6 +37,9 @@
 	// MaxResultSize is the largest size of a task's result in bytes. The
 	// default is 16 MiB.
 	MaxResultSize int64
+	// Linger is the time beyond its Timeout for which a task's end is
+	// awaited: its slot is taken until then. The default is 30 s.
+	Linger time.Duration
 }
 
 // A Request is one attempt of a task on a backend server.
@@ -51,7 +55,7 @@
 	// Route names the task's route.
 	Route string
 	// Timeout is the time after which nobody waits for the result. Zero
-	// means that only the context ends the request.
+	// means that there is none.
 	Timeout time.Duration
 	// Payload is what the task works on.
 	Payload []byte
@@ -99,11 +103,12 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	setDefault(&cfg.MaxResultSize, defaultMaxResultSize)
+	setDefault(&cfg.Linger, defaultLinger)
 	if cfg.Connections < 0 {
 		return nil, &ConfigError{Field: "Connections", Value: cfg.Connections, Want: "positive"}
 	}
-	if cfg.DialTimeout < 0 || cfg.IdleTimeout < 0 {
-		return nil, &ConfigError{Field: "DialTimeout or IdleTimeout", Value: cfg, Want: "positive"}
+	if cfg.DialTimeout < 0 || cfg.IdleTimeout < 0 || cfg.Linger < 0 {
+		return nil, &ConfigError{Field: "DialTimeout, IdleTimeout or Linger", Value: cfg, Want: "positive"}
 	}
 	if cfg.MaxResultSize < 0 {
 		return nil, &ConfigError{Field: "MaxResultSize", Value: cfg.MaxResultSize, Want: "positive"}
@@ -139,7 +144,7 @@
 func (c *Client) Run(ctx context.Context, r Request) Outcome {
 	if r.Timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
+		ctx, cancel = context.WithTimeout(ctx, r.Timeout+c.cfg.Linger)
 		defer cancel()
 	}
 	p := newCall(r)
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -18,6 +18,8 @@
 	maxRetryAfter = 10 * time.Second
 	// drainWindow is the time over which a queue's rate is averaged.
 	drainWindow = 2 * time.Second
+	// drainKnown is the time of waiting tasks after which the rate is known.
+	drainKnown = time.Second
 )
 
 // admit begins a new submission or refuses it. No task of it has left the
@@ -81,18 +83,40 @@
 }
 
 // expectedWait returns how long the last of n new tasks of route is expected to
-// wait here, by the rate at which the route's queue has been draining. It is
-// zero while nothing waits.
+// wait here. It is zero while nothing waits.
 func (i *Instance) expectedWait(route operator.Route, n int) time.Duration {
 	q := i.queues[route.Name]
-	if q == nil {
+	if q == nil || q.waiting == 0 {
 		return 0
 	}
-	rate := q.drain.perSecond()
-	if q.waiting == 0 || rate <= 0 {
+	rate, known := q.drain.perSecond()
+	if !known {
+		rate = max(rate, i.guaranteedRate(route))
+	}
+	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(q.waiting+n) / rate * float64(time.Second))
+	wait := time.Duration(float64(q.waiting+n) / rate * float64(time.Second))
+	return wait + i.pools[route.Pool].holding.Lag(route.Name, n-1)
+}
+
+// guaranteedRate returns this instance's part of the rate, in tasks a second,
+// that the route's share of the pool sustains, if all live instances get as much
+// of its load. It is zero while the run time or the slots are not known.
+func (i *Instance) guaranteedRate(route operator.Route) float64 {
+	p := i.pools[route.Pool]
+	typical := p.spread.Typical(route.Name).Seconds()
+	if typical == 0 {
+		return 0
+	}
+	shares := 0
+	for _, r := range i.tables.Routes {
+		if r.Pool == route.Pool {
+			shares += r.Share
+		}
+	}
+	slots := float64(p.spread.Slots()) * float64(route.Share) / float64(shares)
+	return slots / typical / float64(i.livePeers()+1)
 }
 
 // waitingTasks returns the number of owned tasks that no holder has.
@@ -111,31 +135,37 @@
 	return base + time.Duration(i.cfg.Random.Int64N(int64(base)))
 }
 
-// A drain measures how fast a queue empties while something waits in it.
+// A drain measures how fast a route's tasks end while others of it wait. Only
+// tasks that ran count: a queue also shrinks because its tasks are given up.
 type drain struct {
 	last    time.Time
 	backlog bool
-	sent    float64
+	recent  int
+	ended   float64
 	elapsed float64
 }
 
-// observe counts tasks that left the queue until now. Backlog says that tasks
-// still wait.
-func (d *drain) observe(now time.Time, sent int, backlog bool) {
+// ran counts a task that has run.
+func (d *drain) ran() { d.recent++ }
+
+// observe takes what has happened until now into the rate. Backlog says that
+// tasks still wait.
+func (d *drain) observe(now time.Time, backlog bool) {
 	if d.backlog {
 		dt := now.Sub(d.last).Seconds()
 		keep := max(0, 1-dt/drainWindow.Seconds())
-		d.sent = d.sent*keep + float64(sent)
+		d.ended = d.ended*keep + float64(d.recent)
 		d.elapsed = d.elapsed*keep + dt
 	}
+	d.recent = 0
 	d.last, d.backlog = now, backlog
 }
 
-// perSecond returns the rate in tasks a second, or 0 while too little is known.
-func (d *drain) perSecond() float64 {
-	const known = 0.2 // seconds of backlog
-	if d.elapsed < known {
-		return 0
+// perSecond returns the rate in tasks a second, and whether it rests on enough
+// to go by it alone.
+func (d *drain) perSecond() (rate float64, known bool) {
+	if d.elapsed == 0 {
+		return 0, false
 	}
-	return d.sent / d.elapsed
+	return d.ended / d.elapsed, d.elapsed >= drainKnown.Seconds()
 }
--- a/entry/counts.go
+++ b/entry/counts.go
@@ -55,13 +55,20 @@
 		Held:    len(i.held),
 		Records: i.book.Records(),
 	}
-	for _, addr := range i.members.Addresses() {
-		if i.members.Live(addr) {
-			g.Peers++
-		}
-	}
+	g.Peers = i.livePeers()
 	for _, p := range i.pools {
 		g.Servers += len(p.mine)
 	}
 	return g
 }
+
+// livePeers returns the number of peers that may be given work.
+func (i *Instance) livePeers() int {
+	live := 0
+	for _, addr := range i.members.Addresses() {
+		if i.members.Live(addr) {
+			live++
+		}
+	}
+	return live
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -90,7 +90,6 @@
 // dispatchRoute gives out the tasks of one route in the order in which they are
 // due, while holders have room.
 func (i *Instance) dispatchRoute(now time.Time, q *queue) {
-	sent := 0
 	var paused []*job
 	for len(q.jobs) > 0 {
 		j := q.jobs[0]
@@ -102,12 +101,11 @@
 		if !i.giveNext(now, q, j) {
 			break
 		}
-		sent++
 	}
 	for _, j := range paused {
 		heap.Push(&q.jobs, j)
 	}
-	q.drain.observe(now, sent, len(q.jobs) > 0)
+	q.drain.observe(now, len(q.jobs) > 0)
 }
 
 // giveNext gives out the next task of the job that is due first. It returns
--- a/entry/held.go
+++ b/entry/held.go
@@ -207,7 +207,7 @@
 func (i *Instance) expireHeld(now time.Time) {
 	for _, name := range sorted(i.pools) {
 		for _, t := range i.pools[name].holding.Overdue(now) {
-			i.ended(now, t, peer.Outcome_OUTCOME_NOT_STARTED, nil)
+			i.ended(now, t, peer.Outcome_OUTCOME_OVERDUE, nil)
 		}
 	}
 }
--- a/entry/job.go
+++ b/entry/job.go
@@ -131,6 +131,9 @@
 // settleTask applies the outcome of a given task to its job.
 func (i *Instance) settleTask(now time.Time, j *job, index int, outcome peer.Outcome, body []byte) {
 	t := &j.tasks[index]
+	if outcome == peer.Outcome_OUTCOME_DONE || outcome == peer.Outcome_OUTCOME_FAILED {
+		i.queue(j.route).drain.ran()
+	}
 	switch outcome {
 	case peer.Outcome_OUTCOME_DONE:
 		t.state = taskDone
@@ -145,6 +148,10 @@
 		}
 	case peer.Outcome_OUTCOME_NOT_STARTED:
 		i.takeBack(now, j, index)
+	case peer.Outcome_OUTCOME_OVERDUE:
+		t.state = taskWaiting
+		j.given--
+		i.giveUp(now, j, caller.ReasonTimeout, "a task could no longer end within the job's time")
 	case peer.Outcome_OUTCOME_FAILED:
 		i.fail(now, j, caller.ReasonTask, string(body))
 	default:
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -47,6 +47,8 @@
 	address netip.AddrPort
 	slots   int
 	idle    []*Idle
+	// waiting is the sum of queued.
+	waiting int
 	queued  map[string]int
 	typical map[string]time.Duration
 	given   []given
@@ -96,7 +98,9 @@
 	v.idle = load.Idle
 	clear(v.queued)
 	clear(v.typical)
+	v.waiting = 0
 	for _, r := range load.Routes {
+		v.waiting += int(r.Queued)
 		v.queued[r.Route] = int(r.Queued)
 		v.typical[r.Route] = time.Duration(r.TypicalNanos)
 	}
@@ -164,17 +168,21 @@
 func (s *Spread) pickIdle(route string, usable func(netip.AddrPort) bool) *holderView {
 	s.candidates = s.candidates[:0]
 	least := math.Inf(1)
-	known := s.leastTypical(route)
+	// A holder that knows nothing yet is tried as if it were the best.
+	known := s.Typical(route)
+	if known == 0 {
+		known = time.Second
+	}
 	for _, v := range s.holders {
 		free, slowness := v.fastest()
 		if free == 0 || !usable(v.address) {
 			continue
 		}
-		typical := v.typical[route].Seconds()
+		typical := v.typical[route]
 		if typical == 0 {
 			typical = known
 		}
-		c := candidate{holder: v, free: free, seconds: typical * slowness}
+		c := candidate{holder: v, free: free, seconds: typical.Seconds() * slowness}
 		least = min(least, c.seconds)
 		s.candidates = append(s.candidates, c)
 	}
@@ -205,26 +213,23 @@
 	return nil
 }
 
-// leastTypical returns the least run time of route in seconds that a holder has
-// reported, or 1 if none has. A holder that knows nothing yet is tried as if it
-// were the best.
-func (s *Spread) leastTypical(route string) float64 {
-	least := math.Inf(1)
+// Typical returns the least run time of a task of route that a holder has
+// reported, or 0 if none has.
+func (s *Spread) Typical(route string) time.Duration {
+	var least time.Duration
 	for _, v := range s.holders {
-		if t := v.typical[route]; t > 0 {
-			least = min(least, t.Seconds())
+		if t := v.typical[route]; t > 0 && (least == 0 || t < least) {
+			least = t
 		}
 	}
-	if math.IsInf(least, 1) {
-		return 1
-	}
 	return least
 }
 
 // fastest returns the number and the slowness of the holder's fastest idle
-// slots that what it was given does not fill.
+// slots that neither what it was given nor what waits there fills. Tasks can
+// wait at a holder beside idle slots that are too slow for them.
 func (v *holderView) fastest() (free int, slowness float64) {
-	given := v.givenTotal
+	given := v.givenTotal + v.waiting
 	for _, g := range v.idle {
 		if n := int(g.Free); n > given {
 			return n - given, float64(g.Slowness)
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -85,3 +85,16 @@
 	}
 	is.Equal(order, []netip.AddrPort{self, self, second, second, self, self})
 }
+
+func TestSpreadDoesNotFillIdleSlotsThatAHolderLeavesIdle(t *testing.T) {
+	is := is.New(t)
+	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
+	// The holder lets 12 tasks wait, a quarter of its slots, beside slow ones.
+	s.Report(self, &peer.PoolLoad{
+		Slots:  48,
+		Idle:   []*peer.Idle{{Free: 8, Slowness: 4}},
+		Routes: []*peer.RouteLoad{{Route: "previews", Queued: 12}},
+	}, 0)
+	_, ok := s.Pick("previews", anyHolder)
+	is.True(!ok)
+}
