entry: let no shutdown end while a peer may still send tasks

Cause: Drained looked only at what the instance has. An idle holder was drained the moment it began to leave, so that tasks which an owner had sent before it knew went to a process that ended. The owner waited for them until the job's timeout: a graceful shutdown failed a request. An answer owed to a peer that leaves too was not waited for either, since such a peer is not live. Ruled out: a fixed pause before the end (a guess at the delay), refusing tasks after the end (nobody is there to refuse). Change: the word that the instance leaves goes to every peer at once, and Drained waits until each peer that was heard lately has acknowledged it, as it does for answers. Envelopes come in order, so what was sent before has come.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -21,7 +21,7 @@
 
 // violations returns what the world shows that must never be.
 func (w *world) violations(submitted map[entry.CallerID]caller.Job) []string {
-	var found []string
+	found := append([]string(nil), w.lateStarts...)
 	for task, n := range w.starts {
 		if n > 1 {
 			found = append(found, fmt.Sprintf("task %s started %d times", task, n))
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -122,6 +122,9 @@
 func (i *Instance) Leave(now time.Time) {
 	i.leaving = true
 	i.members.SetLeaving()
+	for _, addr := range i.members.Addresses() {
+		i.tellLeaving(addr)
+	}
 	i.assign(now)
 }
 
@@ -129,13 +132,14 @@
 func (i *Instance) Leaving() bool { return i.leaving }
 
 // Drained reports whether nothing is left at now that a shutdown would
-// interrupt: no job, no task, no key that may yet be used, and no answer that a
-// live peer has not acknowledged.
+// interrupt: no job, no task, no key that may yet be used, no answer that a peer
+// has not acknowledged, and no peer that may still send tasks since it does not
+// know of the shutdown.
 func (i *Instance) Drained(now time.Time) bool {
 	if !i.issued.IsZero() && now.Sub(i.issued) < i.cfg.UseWithin {
 		return false
 	}
-	return len(i.jobs) == 0 && len(i.relays) == 0 && !i.holdsTasks() && !i.owes()
+	return len(i.jobs) == 0 && len(i.relays) == 0 && !i.holdsTasks() && !i.owes(now)
 }
 
 // Ready reports whether the instance can take jobs from callers.
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -17,8 +17,8 @@
 	// settled holds the keys that the peer may forget, until it has
 	// acknowledged the envelope that said so.
 	settled []settledKey
-	// owed is the sequence of the last envelope that carried an answer or a
-	// result.
+	// owed is the sequence of the last envelope that carried an answer, a
+	// result or the first word of a shutdown.
 	owed uint64
 }
 
@@ -51,10 +51,20 @@
 	box.settled = slices.DeleteFunc(box.settled, func(s settledKey) bool { return s.sequence <= sequence })
 }
 
-// owes reports whether a live peer has not acknowledged an answer or a result.
-func (i *Instance) owes() bool {
+// tellLeaving tells the peer at addr at once that this instance is leaving. What
+// the peer has sent before it acknowledges that has then arrived too, since
+// envelopes come in order.
+func (i *Instance) tellLeaving(addr netip.AddrPort) {
+	box := i.outbox(addr)
+	box.urgent = true
+	box.owed = i.members.NextSequence(addr)
+}
+
+// owes reports whether a peer that was heard lately has not acknowledged an
+// answer, a result or the word that this instance is leaving.
+func (i *Instance) owes(now time.Time) bool {
 	for addr, box := range i.outboxes {
-		if box.owed > i.members.Acknowledged(addr) && i.members.Live(addr) {
+		if box.owed > i.members.Acknowledged(addr) && i.members.Heard(now, addr) {
 			return true
 		}
 	}
--- /dev/null
+++ b/entry/world_tables_test.go
@@ -0,0 +1,47 @@
+package entry_test
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/platform"
+)
+
+func instanceAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(n + 1)}), 7000)
+}
+
+func serverAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n + 1)}), 9000)
+}
+
+func zoneOf(n int) string { return string(rune('a' + n%3)) }
+
+func worldTables(servers int) *operator.Tables {
+	t := &operator.Tables{
+		Routes: []operator.Route{
+			{Name: "previews", Pool: "editing", Urgency: 90, Share: 50, Timeout: 5 * time.Second},
+			{Name: "thumbnails", Pool: "editing", Urgency: 10, Share: 50, Timeout: 20 * time.Second},
+		},
+		Pools: []operator.Pool{{Name: "editing"}},
+	}
+	for n := range servers {
+		t.Pools[0].Servers = append(t.Pools[0].Servers, operator.Server{
+			Address: serverAddress(n), Zone: zoneOf(n), Rack: "r1", Slots: 8, Connections: 64,
+			Cores: 16, MemoryMiB: 65536,
+		})
+	}
+	return t
+}
+
+// newWorldList returns the platform's list with every entry instance live.
+func newWorldList(instances int) platform.List {
+	var list platform.List
+	for n := range instances {
+		list.Instances = append(list.Instances, platform.Instance{
+			Address: instanceAddress(n), Kind: platform.EntryInstance, Zone: zoneOf(n),
+		})
+	}
+	return list
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -1,21 +1,16 @@
 package entry_test
 
 import (
-	"container/heap"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
 	"github.com/amaranthwell/amaranthwell/operator"
-	"github.com/amaranthwell/amaranthwell/peer"
 	"github.com/amaranthwell/amaranthwell/platform"
 )
 
@@ -56,6 +51,22 @@
 	// runTime gives how long a task runs, and outcome what becomes of it.
 	runTime func(s entry.Start) time.Duration
 	outcome func(s entry.Start) backend.OutcomeKind
+	// startDelay gives how long a task waits at its backend server.
+	startDelay func(s entry.Start) time.Duration
+
+	// tickEvery is the time between ticks.
+	tickEvery time.Duration
+	// seen, if set, is told each step of the world as it happens.
+	seen func(p point)
+	// fate, if set, says what becomes of one envelope beyond the faults above.
+	fate func(from netip.AddrPort, s entry.Send) fate
+	// unseen holds the nodes that do not see the platform's list.
+	unseen map[netip.AddrPort]bool
+	// listedLeaving holds since when each node has seen in the list that a
+	// backend server is leaving.
+	listedLeaving map[netip.AddrPort]map[netip.AddrPort]time.Time
+	// lateStarts describes the starts on leaving backend servers.
+	lateStarts []string
 }
 
 // A nodeLife is one process at an address.
@@ -96,6 +107,11 @@
 		delay:       func(_, _ netip.AddrPort) time.Duration { return worldDelay },
 		runTime:     func(entry.Start) time.Duration { return 100 * time.Millisecond },
 		outcome:     func(entry.Start) backend.OutcomeKind { return backend.Done },
+
+		startDelay:    func(entry.Start) time.Duration { return 0 },
+		tickEvery:     worldTick,
+		unseen:        make(map[netip.AddrPort]bool),
+		listedLeaving: make(map[netip.AddrPort]map[netip.AddrPort]time.Time),
 	}
 	w.tables = worldTables(servers)
 	w.list = newWorldList(instances)
@@ -109,33 +125,6 @@
 	return w
 }
 
-func instanceAddress(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(n + 1)}), 7000)
-}
-
-func serverAddress(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n + 1)}), 9000)
-}
-
-func zoneOf(n int) string { return string(rune('a' + n%3)) }
-
-func worldTables(servers int) *operator.Tables {
-	t := &operator.Tables{
-		Routes: []operator.Route{
-			{Name: "previews", Pool: "editing", Urgency: 90, Share: 50, Timeout: 5 * time.Second},
-			{Name: "thumbnails", Pool: "editing", Urgency: 10, Share: 50, Timeout: 20 * time.Second},
-		},
-		Pools: []operator.Pool{{Name: "editing"}},
-	}
-	for n := range servers {
-		t.Pools[0].Servers = append(t.Pools[0].Servers, operator.Server{
-			Address: serverAddress(n), Zone: zoneOf(n), Rack: "r1", Slots: 8, Connections: 64,
-			Cores: 16, MemoryMiB: 65536,
-		})
-	}
-	return t
-}
-
 // boot starts a new process at addr.
 func (w *world) boot(addr netip.AddrPort) {
 	n := w.nodes[addr]
@@ -152,8 +141,10 @@
 	n.instance, n.up, n.paused = instance, true, false
 	n.pending, n.acts = nil, nil
 	n.life++
+	delete(w.listedLeaving, addr)
+	list := w.list
 	w.give(n, func(now time.Time, i *entry.Instance) {
-		i.SetList(now, w.list)
+		w.setNodeList(now, n, list)
 		i.SetTables(now, w.tables, 1, []byte("snapshot"))
 	})
 	w.tick(n, n.life)
@@ -165,7 +156,7 @@
 		return
 	}
 	w.give(n, func(now time.Time, i *entry.Instance) { i.Tick(now) })
-	w.after(worldTick, func() { w.tick(n, life) })
+	w.after(w.tickEvery, func() { w.tick(n, life) })
 }
 
 // kill ends the process at addr at once. The callers that wait there lose their
@@ -192,9 +183,15 @@
 			w.after(worldTick, look)
 			return
 		}
-		// What the process has decided to send is sent before it ends.
+		// What the process has decided to send is sent before it ends, and
+		// what a caller has brought meanwhile is answered.
 		w.after(0, func() {
-			if n.life == life {
+			switch {
+			case n.life != life:
+			case n.paused || !n.instance.Drained(w.now):
+				look()
+			default:
+				w.tell(point{kind: pointDrained, at: addr})
 				n.up = false
 				n.life++
 			}
@@ -236,87 +233,6 @@
 	w.act(n, effects)
 }
 
-func (w *world) act(n *node, effects entry.Effects) {
-	for _, a := range effects.Answers {
-		w.answers[a.Caller] = append(w.answers[a.Caller], a.Answer)
-	}
-	for _, s := range effects.Sends {
-		w.do(n, func() { w.send(n.address, s) })
-	}
-	for _, s := range effects.Starts {
-		w.do(n, func() { w.start(n, s) })
-	}
-}
-
-// do runs an act of a node, one event after the decision, so that a pause may
-// come between the two.
-func (w *world) do(n *node, act func()) {
-	life := n.life
-	w.after(0, func() {
-		switch {
-		case n.life != life || !n.up:
-		case n.paused:
-			n.acts = append(n.acts, act)
-		default:
-			act()
-		}
-	})
-}
-
-// send carries an envelope to a peer, or loses it.
-func (w *world) send(from netip.AddrPort, s entry.Send) {
-	if w.lose(from, s.To) {
-		return
-	}
-	copies := 1
-	if w.duplicate(from, s.To) {
-		copies = 2
-	}
-	body, err := proto.Marshal(s.Envelope)
-	if err != nil {
-		panic(err)
-	}
-	for range copies {
-		w.after(w.delay(from, s.To), func() {
-			env := &peer.Envelope{}
-			if err := proto.Unmarshal(body, env); err != nil {
-				panic(err)
-			}
-			if to := w.nodes[s.To]; to != nil {
-				w.give(to, func(now time.Time, i *entry.Instance) { i.Receive(now, from, env) })
-			}
-		})
-	}
-}
-
-// start runs a task on its backend server.
-func (w *world) start(n *node, s entry.Start) {
-	life := n.life
-	report := func(kind backend.OutcomeKind) {
-		w.after(worldDelay, func() {
-			if n.life == life {
-				body := fmt.Appendf(nil, "done:%s", s.Payload)
-				w.give(n, func(now time.Time, i *entry.Instance) {
-					i.TaskDone(now, s.Task, backend.Outcome{Kind: kind, Body: body})
-				})
-			}
-		})
-	}
-	kind := w.outcome(s)
-	if kind == backend.NotStarted {
-		report(kind)
-		return
-	}
-	w.starts[fmt.Sprintf("%s/%d", s.Key, s.Index)]++
-	w.startedAt[s.Server] = w.now
-	w.running[s.Server]++
-	w.mostRunning[s.Server] = max(w.mostRunning[s.Server], w.running[s.Server])
-	w.after(w.runTime(s), func() {
-		w.running[s.Server]--
-		report(kind)
-	})
-}
-
 // submit sends a job to the node at addr as a caller does, and returns the
 // caller's ID.
 func (w *world) submit(addr netip.AddrPort, job caller.Job) entry.CallerID {
@@ -343,65 +259,29 @@
 func (w *world) setList(list platform.List) {
 	w.list = list
 	for _, addr := range sortedNodes(w) {
-		w.give(w.nodes[addr], func(now time.Time, i *entry.Instance) { i.SetList(now, list) })
-	}
-}
-
-// run lets d pass.
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(*worldEvent)
-		w.now = e.at
-		e.f()
+		if n := w.nodes[addr]; !w.unseen[addr] {
+			w.give(n, func(now time.Time, _ *entry.Instance) { w.setNodeList(now, n, list) })
+		}
 	}
-	w.now = end
 }
 
-func (w *world) after(d time.Duration, f func()) {
-	w.order++
-	heap.Push(&w.queue, &worldEvent{at: w.now.Add(d), order: w.order, f: f})
-}
-
-type worldEvent struct {
-	at    time.Time
-	order int
-	f     func()
-}
-
-type worldQueue []*worldEvent
-
-func (q worldQueue) Len() int { return len(q) }
-
-func (q worldQueue) Less(a, b int) bool {
-	if q[a].at.Equal(q[b].at) {
-		return q[a].order < q[b].order
+// setNodeList gives a platform's list to one node.
+func (w *world) setNodeList(now time.Time, n *node, list platform.List) {
+	n.instance.SetList(now, list)
+	leaving := make(map[netip.AddrPort]time.Time)
+	for _, listed := range list.Instances {
+		if listed.Kind != platform.BackendServer || !listed.Leaving {
+			continue
+		}
+		leaving[listed.Address] = now
+		if since, ok := w.listedLeaving[n.address][listed.Address]; ok {
+			leaving[listed.Address] = since
+		}
 	}
-	return q[a].at.Before(q[b].at)
-}
-
-func (q worldQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-func (q *worldQueue) Push(x any)   { *q = append(*q, x.(*worldEvent)) }
-
-func (q *worldQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
+	w.listedLeaving[n.address] = leaving
 }
 
 // sortedNodes returns the addresses of the world's nodes in order.
 func sortedNodes(w *world) []netip.AddrPort {
 	return slices.SortedFunc(maps.Keys(w.nodes), netip.AddrPort.Compare)
 }
-
-// newWorldList returns the platform's list with every entry instance live.
-func newWorldList(instances int) platform.List {
-	var list platform.List
-	for n := range instances {
-		list.Instances = append(list.Instances, platform.Instance{
-			Address: instanceAddress(n), Kind: platform.EntryInstance, Zone: zoneOf(n),
-		})
-	}
-	return list
-}
