peer: tell the sender of envelopes that a full link has dropped

Cause: a link whose queue of 1,024 was full dropped envelopes without a word. The receiver sees the gap and asks for what the sender owes it, but only the sender can repeat a lost submission or task, and it did so only after a new stream: each job with a task in a dropped envelope ended by its timeout. Ruled out: a count of gaps in the envelope (a field for what the sender knows), a longer queue. Change: a drop marks the link, and the receiver of its events is told with the last envelope that waits, so that the repeats find room. Before: go test -run TestLinkTellsOfDropped ./peer: 0 != 1. After: passes, 5 runs with -race.

--- a/peer/link.go
+++ b/peer/link.go
@@ -26,7 +26,7 @@
 	// Deliver takes an envelope. It may block to slow the sender down.
 	Deliver(env *Envelope)
 	// LinkReset says that envelopes to the peer at addr may have been lost,
-	// and that there is a stream to it again.
+	// and that the stream to it takes envelopes again.
 	LinkReset(addr netip.AddrPort)
 }
 
@@ -61,9 +61,9 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	dropped atomic.Uint64
-	// lossy says that envelopes may have been lost since the stream before.
-	// Only the link's goroutine uses it.
-	lossy bool
+	// lossy says that envelopes may have been lost since the receiver was
+	// last told so.
+	lossy atomic.Bool
 }
 
 // NewLink returns a Link to the peer at address. It tells receiver when
@@ -88,12 +88,13 @@
 }
 
 // Send queues an envelope. It does not block: if the link cannot keep up, the
-// envelope is lost, and the receiver sees the gap.
+// envelope is lost, and the receiver is told so once the link has caught up.
 func (l *Link) Send(env *Envelope) {
 	select {
 	case l.queue <- env:
 	default:
 		l.dropped.Add(1)
+		l.lossy.Store(true)
 	}
 }
 
@@ -114,7 +115,7 @@
 // discard drops the envelopes that wait: what they say may be stale by the time
 // that there is a stream again.
 func (l *Link) discard() {
-	l.lossy = true
+	l.lossy.Store(true)
 	for {
 		select {
 		case <-l.queue:
@@ -138,8 +139,7 @@
 	if err != nil {
 		return
 	}
-	if l.lossy {
-		l.lossy = false
+	if l.lossy.Swap(false) {
 		receiver.LinkReset(l.address)
 	}
 	for {
@@ -149,6 +149,9 @@
 		case <-conn.Closed():
 			return
 		case env := <-l.queue:
+			if len(l.queue) == 0 && l.lossy.Swap(false) {
+				receiver.LinkReset(l.address)
+			}
 			_ = raw.SetWriteDeadline(time.Now().Add(sendTimeout))
 			if stream.Send(env) != nil {
 				return
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -62,3 +62,27 @@
 	defer cancel()
 	link.Close(ctx)
 }
+
+// TestLinkTellsOfDroppedEnvelopes fills a link whose peer does not read.
+func TestLinkTellsOfDroppedEnvelopes(t *testing.T) {
+	is := is.New(t)
+	to := &inbox{envelopes: make(chan *peer.Envelope)}
+	addr, stop := serve(t, "127.0.0.1:0", to)
+	defer stop()
+	from := newInbox()
+	link := peer.NewLink(addr, from)
+	large := make([]byte, 64<<10)
+	sent := uint64(0)
+	for link.Dropped() == 0 {
+		sent++
+		link.Send(&peer.Envelope{Sequence: sent, Configuration: large})
+	}
+	for (<-to.envelopes).Sequence < sent-1 {
+	}
+	// All that was kept has come over the one stream.
+	is.Equal(len(from.resets), 1)
+	is.Equal(<-from.resets, addr)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link.Close(ctx)
+}
