--- /dev/null
+++ b/entry/linearizable_test.go
@@ -0,0 +1,130 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/amaranthwell/amaranthwell/caller"
+)
+
+// linearizableRuns is the number of storms whose histories are checked.
+const linearizableRuns = 100
+
+// A keyEvent is what happens to a key: an answer to a submission, or a start of
+// one of its tasks if status is empty.
+type keyEvent struct {
+	key    caller.Key
+	status caller.Status
+	reason caller.Reason
+}
+
+// keyState is the register of a key: fresh until the first definite answer,
+// then that answer, and gone once a caller has been told that the owner has
+// ended.
+type keyState struct {
+	status caller.Status
+	gone   bool
+}
+
+// keyModel says which answers and starts may follow each other.
+var keyModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		at := make(map[caller.Key]int)
+		var parts [][]porcupine.Operation
+		for _, op := range history {
+			key := op.Input.(keyEvent).key
+			n, ok := at[key]
+			if !ok {
+				n = len(parts)
+				at[key] = n
+				parts = append(parts, nil)
+			}
+			parts[n] = append(parts[n], op)
+		}
+		return parts
+	},
+	Init: func() any { return keyState{} },
+	Step: func(state, _, output any) (bool, any) {
+		s, e := state.(keyState), output.(keyEvent)
+		switch {
+		case e.status == "":
+			return s.status != caller.NotRun && s.status != caller.Complete, s
+		case e.status == caller.Unknown:
+			s.gone = s.gone || e.reason == caller.ReasonOwnerGone
+			return true, s
+		case s.gone:
+			return false, s
+		}
+		allowed := s.status == "" || s.status == e.status
+		s.status = e.status
+		return allowed, s
+	},
+	DescribeOperation: func(_, output any) string { return fmt.Sprint(output) },
+}
+
+// history returns what happened in a storm, by key.
+func (s *storm) history(starts []porcupine.Operation, answered map[int]time.Time) []porcupine.Operation {
+	history := starts
+	for id, job := range s.submitted {
+		for _, a := range s.answers[id] {
+			e := keyEvent{key: job.Key, status: a.Status, reason: a.Reason}
+			history = append(history, porcupine.Operation{
+				ClientId: int(id), Input: e, Output: e,
+				Call: s.submittedAt[id].UnixNano(), Return: answered[int(id)].UnixNano(),
+			})
+		}
+	}
+	return history
+}
+
+// watchKeys records the first and the last start of each key, and when callers
+// got their answers.
+func (s *storm) watchKeys() func() []porcupine.Operation {
+	answered := make(map[int]time.Time)
+	first, last := make(map[caller.Key]time.Time), make(map[caller.Key]time.Time)
+	s.seen = func(p point) {
+		switch p.kind {
+		case pointAnswered:
+			answered[int(p.answer.Caller)] = s.now
+		case pointStarted:
+			if _, ok := first[p.start.Key]; !ok {
+				first[p.start.Key] = s.now
+			}
+			last[p.start.Key] = s.now
+		}
+	}
+	return func() []porcupine.Operation {
+		var starts []porcupine.Operation
+		for _, job := range s.jobs {
+			for _, at := range []map[caller.Key]time.Time{first, last} {
+				if t, ok := at[job.Key]; ok {
+					e := keyEvent{key: job.Key}
+					starts = append(starts, porcupine.Operation{Input: e, Output: e, Call: t.UnixNano(), Return: t.UnixNano()})
+				}
+			}
+		}
+		return s.history(starts, answered)
+	}
+}
+
+// TestKeysAreLinearizable checks the histories of keys under storms against a
+// register of one key.
+func TestKeysAreLinearizable(t *testing.T) {
+	const lanes = 8
+	for lane := range lanes {
+		t.Run(fmt.Sprintf("lane-%d", lane), func(t *testing.T) {
+			t.Parallel()
+			for seed := lane; seed < linearizableRuns; seed += lanes {
+				s := newStorm(uint64(seed))
+				history := s.watchKeys()
+				s.play()
+				if !porcupine.CheckOperations(keyModel, history()) {
+					t.Fatalf("seed %d: the history of a key is not linearizable", seed)
+				}
+			}
+		})
+	}
+}
--- a/entry/matrix_test.go
+++ b/entry/matrix_test.go
@@ -30,7 +30,7 @@
 	},
 	{
 		"no backend server changes hands after the step",
-		func(s scenario, st step, f fault) bool {
+		func(_ scenario, st step, f fault) bool {
 			return strings.HasSuffix(f.name, " released") && (st.name == "end of the process" ||
 				st.name == "answer sent" || st.name == "answer at the caller" || st.name == "result sent")
 		},
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -42,6 +42,8 @@
 	// answers holds the answers that reached callers.
 	answers map[entry.CallerID][]caller.Answer
 	nextID  entry.CallerID
+	// submittedAt holds when callers sent their jobs.
+	submittedAt map[entry.CallerID]time.Time
 	// waits holds the callers that wait at each life of each node.
 	waits map[nodeLife][]entry.CallerID
 
@@ -102,6 +104,7 @@
 		mostRunning: make(map[netip.AddrPort]int),
 		answers:     make(map[entry.CallerID][]caller.Answer),
 		waits:       make(map[nodeLife][]entry.CallerID),
+		submittedAt: make(map[entry.CallerID]time.Time),
 		lose:        func(_, _ netip.AddrPort) bool { return false },
 		duplicate:   func(_, _ netip.AddrPort) bool { return false },
 		delay:       func(_, _ netip.AddrPort) time.Duration { return worldDelay },
@@ -238,6 +241,7 @@
 func (w *world) submit(addr netip.AddrPort, job caller.Job) entry.CallerID {
 	w.nextID++
 	id := w.nextID
+	w.submittedAt[id] = w.now
 	if n := w.nodes[addr]; n.up {
 		life := nodeLife{addr, n.life}
 		w.waits[life] = append(w.waits[life], id)
