--- a/cmd/amaranthwell/metrics.go
+++ b/cmd/amaranthwell/metrics.go
@@ -23,8 +23,8 @@
 	latest.Store(&stats{})
 	var taken atomic.Int64
 	refresh := func() *stats {
-		now := time.Now().UnixNano()
-		if now-taken.Swap(now) > int64(metricsEvery) {
+		now, last := time.Now().UnixNano(), taken.Load()
+		if now-last > int64(metricsEvery) && taken.CompareAndSwap(last, now) {
 			d.control.ask(func(_ time.Time, i *entry.Instance) {
 				latest.Store(&stats{counts: i.Counts(), gauges: i.Gauges()})
 			})
