entry: give tasks back that wait where no server is usable

Cause: an owner gives tasks to a holder by what it last heard. If the holder's servers have all left, or it holds none, the tasks waited there: with a server that said itself that it leaves, until that was no longer believed (30 s), and otherwise until the job's timeout, which ended the job as failed. Change: such tasks go back as not started at the next tick. Also: jobs whose owner is killed or paused have a timeout of 15 s, so that the lost answers end sooner, and a job without any answer fails the test.

--- a/demo/callers_test.go
+++ b/demo/callers_test.go
@@ -62,7 +62,7 @@
 	})
 	all := make([]submission, count)
 	for i, key := range issued.Keys {
-		all[i] = submission{Key: key, Route: "previews", Timeout: patience.String()}
+		all[i] = submission{Key: key, Route: "previews", Timeout: n.timeout.String()}
 		for task := range tasks {
 			all[i].Tasks = append(all[i].Tasks, fmt.Appendf(nil, "run-time=%v\n%s/%d", runTime, key, task))
 		}
@@ -112,6 +112,11 @@
 		})
 	}
 	group.Wait()
+	for i, a := range answers {
+		if a.Status == "" {
+			n.t.Errorf("%s got no answer", all[i].Key)
+		}
+	}
 	return answers
 }
 
@@ -158,11 +163,11 @@
 			n.t.Errorf("a task started twice under %s: %v", key, counts)
 		}
 	}
-	statuses := map[caller.Status]int{}
+	outcomes := map[string]int{}
 	for key, answers := range n.book.answers {
 		var final caller.Status
 		for _, a := range answers {
-			statuses[a.Status]++
+			outcomes[fmt.Sprint(a.Status, " ", a.Reason)]++
 			n.checkAnswer(n.book.jobs[key], a, seen.ByKey[key])
 			if a.Status == caller.Unknown {
 				continue
@@ -173,7 +178,7 @@
 			final = a.Status
 		}
 	}
-	n.t.Logf("%d keys, answers %v, %d starts", len(n.book.jobs), statuses, seen.Started)
+	n.t.Logf("%d keys, answers %v, %d starts", len(n.book.jobs), outcomes, seen.Started)
 }
 
 // checkAnswer judges one answer by the starts of its job's tasks.
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -21,6 +21,9 @@
 // firstServer is the host number of the first backend server.
 const firstServer = 101
 
+// lossTimeout is the timeout of jobs whose answers may be lost for good.
+const lossTimeout = 15 * time.Second
+
 func TestFaults(t *testing.T) {
 	programs := t.TempDir()
 	build := exec.Command("go", "build", "-o", programs, "../cmd/amaranthwell", "../cmd/amaranthwell-standin")
@@ -95,6 +98,7 @@
 // keys again through the others, before and after another process takes its
 // place.
 func killedOwner(n *network) {
+	n.timeout = lossTimeout
 	entries := n.fleet()
 	all, wait := n.inFlight(entries)
 	n.is.NoErr(n.entries[11].Process.Signal(syscall.SIGKILL))
@@ -115,6 +119,7 @@
 // until its peers no longer believe it to live, and lets it go on.
 func pausedOwner(n *network) {
 	const pause = 6 * time.Second
+	n.timeout = lossTimeout
 	entries := n.fleet()
 	all, wait := n.inFlight(entries)
 	process := n.entries[11].Process
--- a/demo/processes_test.go
+++ b/demo/processes_test.go
@@ -33,14 +33,16 @@
 	programs string
 	dir      string
 	number   int
-	workers  []string
-	entries  map[int]*exec.Cmd
-	book     book
+	// timeout is that of jobs.
+	timeout time.Duration
+	workers []string
+	entries map[int]*exec.Cmd
+	book    book
 }
 
 // newNetwork starts the platform's stand-ins at 127.30.number.0/24.
 func newNetwork(t *testing.T, programs string, number int) *network {
-	n := &network{t: t, is: is.New(t), programs: programs, dir: t.TempDir(), number: number, entries: map[int]*exec.Cmd{}}
+	n := &network{t: t, is: is.New(t), programs: programs, dir: t.TempDir(), number: number, timeout: patience, entries: map[int]*exec.Cmd{}}
 	n.start("log", "amaranthwell-standin", "log", "--address", n.address(1, 7100))
 	n.start("instances", "amaranthwell-standin", "instances", "--address", n.address(1, 7200), "--lag", "1s")
 	n.await("the log", func() bool { return n.get(n.log()+"/v1/streams/readiness/records", nil) })
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -154,6 +154,7 @@
 	i.expireRelays(now)
 	i.expireJobs(now)
 	i.expireHeld(now)
+	i.returnStranded(now)
 	i.ticked = now
 }
 
