entry: report changes of peers and backend servers; chart: draw the charts in the docs

Cause: the logs did not say what an instance believes of its peers, which backend servers it has ejected, or which configuration came into force; the state charts were drawn nowhere. Change: an Instance reports a Change for each new state of a peer, and of a backend server that it holds and that is ejected, on trial, leaving or back (not for a cooling of some 100 ms); the daemon logs them. docs/CHARTS.md comes from the charts' files, and a test fails while it differs.

--- /dev/null
+++ b/chart/docs_test.go
@@ -0,0 +1,57 @@
+package chart_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/chart"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// chartsPage is the page that draws the state charts.
+const chartsPage = "../docs/CHARTS.md"
+
+var update = flag.Bool("update", false, "write "+chartsPage+" anew")
+
+// page returns the page that draws the charts.
+func page() string {
+	return `# State charts
+
+The code interprets these charts from files; the drawings come from the same
+files. ` + "`go test ./chart -update`" + ` writes this page anew, and a test fails while it
+differs.
+
+## A peer's life
+
+What an entry instance believes of a peer (` + "`peer/life.chart.toml`" + `). A belief
+decides who is given work, and never whether a task may start a second time.
+
+` + draw(peer.LifeChart()) + `
+## A backend server's health
+
+What the holder of a backend server makes of it (` + "`backend/health.chart.toml`" + `).
+
+` + draw(backend.HealthChart())
+}
+
+func draw(c *chart.Chart) string {
+	return "```mermaid\n" + c.Mermaid() + "```\n"
+}
+
+func TestChartsPageIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile(chartsPage, []byte(page()), 0o644))
+	}
+	text, err := os.ReadFile(chartsPage)
+	is.NoErr(err)
+	is.Equal(string(text), page()) // go test ./chart -update writes it
+	files, err := filepath.Glob("../*/*.chart.toml")
+	is.NoErr(err)
+	is.Equal(len(files), 2) // each chart's file is drawn
+}
--- a/cmd/amaranthwell/configuration.go
+++ b/cmd/amaranthwell/configuration.go
@@ -41,6 +41,8 @@
 	reader      *operator.Reader
 	republisher *operator.Republisher
 	applied     uint64
+	// inForce is the revision last logged to be in force.
+	inForce uint64
 }
 
 // run follows the log until ctx ends.
@@ -112,6 +114,10 @@
 		f.apply(func(now time.Time, i *entry.Instance) { i.SetTables(now, tables, offset, snapshot) })
 	}
 	f.show(f.reader.Current())
+	if h.Revision() != f.inForce {
+		f.inForce = h.Revision()
+		_ = f.logger.Log("event", "configuration-in-force", "revision", h.Revision(), "offset", offset, "author", h.Author())
+	}
 }
 
 // watchEnd looks at the log's end from time to time and appends a snapshot when
--- a/cmd/amaranthwell/control.go
+++ b/cmd/amaranthwell/control.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
@@ -34,6 +36,7 @@
 	events    chan event
 	backends  *backend.Client
 	snapshots func([]byte)
+	logger    log.Logger
 
 	mu      sync.Mutex
 	callers map[entry.CallerID]chan caller.Answer
@@ -44,13 +47,16 @@
 }
 
 // newControl returns a control whose goroutine runs until ctx ends. Snapshots
-// takes the configurations that peers send.
-func newControl(ctx context.Context, instance *entry.Instance, backends *backend.Client, snapshots func([]byte)) *control {
+// takes the configurations that peers send, and logger a line a change of state.
+func newControl(
+	ctx context.Context, instance *entry.Instance, backends *backend.Client, snapshots func([]byte), logger log.Logger,
+) *control {
 	c := &control{
 		instance:  instance,
 		events:    make(chan event, eventCapacity),
 		backends:  backends,
 		snapshots: snapshots,
+		logger:    logger,
 		callers:   make(map[entry.CallerID]chan caller.Answer),
 		links:     make(map[netip.AddrPort]*peer.Link),
 		stopped:   make(chan struct{}),
@@ -127,6 +133,9 @@
 	for _, s := range effects.Snapshots {
 		c.snapshots(s)
 	}
+	for _, change := range effects.Changes {
+		_ = c.logger.Log("event", change.What, "subject", change.Subject, "from", change.From, "to", change.To)
+	}
 }
 
 // run starts a task on its backend server and reports the outcome.
--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	d.control = newControl(serving, d.instance, d.backends, d.follower.offer)
+	d.control = newControl(serving, d.instance, d.backends, d.follower.offer, d.logger)
 	d.registerMetrics()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return ended(peer.Listen(serving, peers, d.control)) })
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -21,6 +21,8 @@
 	Starts []Start
 	// Snapshots are configurations that peers have sent.
 	Snapshots [][]byte
+	// Changes are for operators to know.
+	Changes []Change
 }
 
 // A CallerAnswer is the one answer to a caller.
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -52,6 +52,8 @@
 	listed platform.List
 	ticked time.Time
 	counts Counts
+	// changes holds the states that operators were last told of.
+	changes changes
 }
 
 // A waiter is whom an answer of this instance's book goes to: a caller here,
@@ -155,6 +157,7 @@
 	i.expireJobs(now)
 	i.expireHeld(now)
 	i.returnStranded(now)
+	i.noteChanges(now)
 	i.ticked = now
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -50,6 +50,9 @@
 	// waits holds the callers that wait at each life of each node.
 	waits map[nodeLife][]entry.CallerID
 
+	// changes holds what each instance reported to its operators.
+	changes map[netip.AddrPort][]entry.Change
+
 	// faults of envelopes: each is asked for every envelope.
 	lose, duplicate func(from, to netip.AddrPort) bool
 	delay           func(from, to netip.AddrPort) time.Duration
@@ -91,6 +94,7 @@
 		mostRunning: make(map[netip.AddrPort]int),
 		answers:     make(map[entry.CallerID][]caller.Answer),
 		waits:       make(map[nodeLife][]entry.CallerID),
+		changes:     make(map[netip.AddrPort][]entry.Change),
 		lose:        func(_, _ netip.AddrPort) bool { return false },
 		duplicate:   func(_, _ netip.AddrPort) bool { return false },
 		delay:       func(_, _ netip.AddrPort) time.Duration { return worldDelay },
@@ -237,6 +241,7 @@
 }
 
 func (w *world) act(n *node, effects entry.Effects) {
+	w.changes[n.address] = append(w.changes[n.address], effects.Changes...)
 	for _, a := range effects.Answers {
 		w.answers[a.Caller] = append(w.answers[a.Caller], a.Answer)
 	}
--- a/peer/life.go
+++ b/peer/life.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"net/netip"
 
 	"github.com/amaranthwell/amaranthwell/chart"
 )
@@ -31,3 +32,16 @@
 	eventRestart = life.MustEvent("restart")
 	eventForget  = life.MustEvent("forget")
 )
+
+// LifeChart returns the chart of what an instance believes of a peer's life.
+func LifeChart() *chart.Chart { return life }
+
+// State returns the name of the state in LifeChart that the peer at addr is
+// believed to be in. It is "gone" for a peer that is not known.
+func (m *Members) State(addr netip.AddrPort) string {
+	p := m.peers[addr]
+	if p == nil {
+		return life.Name(lifeGone)
+	}
+	return life.Name(p.state)
+}
