--- a/entry/world_acts_test.go
+++ b/entry/world_acts_test.go
@@ -13,6 +13,7 @@
 )
 
 func (w *world) act(n *node, effects entry.Effects) {
+	w.changes[n.address] = append(w.changes[n.address], effects.Changes...)
 	for _, a := range effects.Answers {
 		w.answers[a.Caller] = append(w.answers[a.Caller], a.Answer)
 		w.tell(point{kind: pointAnswered, at: n.address, answer: a})
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -47,6 +47,9 @@
 	// waits holds the callers that wait at each life of each node.
 	waits map[nodeLife][]entry.CallerID
 
+	// changes holds what each instance reported to its operators.
+	changes map[netip.AddrPort][]entry.Change
+
 	// faults of envelopes: each is asked for every envelope.
 	lose, duplicate func(from, to netip.AddrPort) bool
 	delay           func(from, to netip.AddrPort) time.Duration
@@ -105,6 +108,7 @@
 		answers:     make(map[entry.CallerID][]caller.Answer),
 		waits:       make(map[nodeLife][]entry.CallerID),
 		submittedAt: make(map[entry.CallerID]time.Time),
+		changes:     make(map[netip.AddrPort][]entry.Change),
 		lose:        func(_, _ netip.AddrPort) bool { return false },
 		duplicate:   func(_, _ netip.AddrPort) bool { return false },
 		delay:       func(_, _ netip.AddrPort) time.Duration { return worldDelay },
