--- a/cmd/amaranthwell-load/plot.go
+++ b/cmd/amaranthwell-load/plot.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// plot draws the curves of a scenario to an SVG file in the output directory.
+// plot draws the curves of a scenario to a file in the output directory.
 func (c *runCommand) plot(s scenario, curves []curve) error {
 	p := plot.New()
 	p.Title.Text = s.name
@@ -79,5 +79,5 @@
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
 	}
-	return p.Save(plotWidth, plotHeight, filepath.Join(c.Output, s.name+".svg"))
+	return p.Save(plotWidth, plotHeight, filepath.Join(c.Output, s.name+"."+c.Plot))
 }
--- a/cmd/amaranthwell-load/run.go
+++ b/cmd/amaranthwell-load/run.go
@@ -23,6 +23,7 @@
 	Network   byte     `long:"network" description:"second number of the loopback addresses, 127.N.x.y" default:"40"`
 	Bin       string   `long:"bin" description:"directory of the programs" default:"bin"`
 	Output    string   `long:"output" description:"directory of results, settings and process output" default:"bin/load"`
+	Plot      string   `long:"plot" description:"format of the plots" choice:"svg" choice:"png" default:"svg"`
 	Window    string   `long:"window" description:"length of every measured window, such as 8s (default: the scenario's)"`
 }
 
