peer: take a new session of a peer only once it has answered a challenge

An instance that had first heard of the owner's present process then got an envelope of the process before, which the network had held back, took it for the newer one, and believed the present one to have ended. Ruled out: numbering incarnations by time, since clocks of successive instances at an address differ. Change: a session other than the known one is a candidate, and counts only when an envelope of it carries the echo of a challenge made since. The known session's echo shows the candidate to be an earlier one. A restarted peer counts one round trip later.

--- a/peer/members.go
+++ b/peer/members.go
@@ -71,10 +71,18 @@
 	session     uint64
 	peerSession uint64
 	past        map[uint64]bool
-	state       lifeState
-	listed      bool
-	saidBye     bool
-	heard       time.Time
+	// candidate is a session heard that may follow peerSession or be an
+	// earlier one, and challenge the number whose echo tells.
+	candidate uint64
+	challenge uint64
+	// challenged is the challenge that was last sent.
+	challenged uint64
+	// echo is the peer's last challenge.
+	echo    uint64
+	state   lifeState
+	listed  bool
+	saidBye bool
+	heard   time.Time
 	// received is the highest sequence taken in peerSession.
 	received uint64
 	// acknowledged is the highest sequence of session that the peer took.
@@ -173,11 +181,18 @@
 	if env.Session == 0 || p.past[env.Session] || p.ended[env.Incarnation] {
 		return Hearing{}
 	}
+	if env.Challenge != 0 {
+		p.echo = env.Challenge
+	}
 	var h Hearing
 	if p.peerSession != env.Session {
+		if p.peerSession != 0 && !m.follows(p, env) {
+			return Hearing{}
+		}
 		h.Restarted = p.peerSession != 0
 		m.restart(p, env)
 	}
+	m.settleCandidate(p, env)
 	if env.Sequence <= p.received {
 		return Hearing{}
 	}
@@ -202,6 +217,31 @@
 	return h
 }
 
+// follows reports whether the envelope's session is proved to be later than the
+// one known of p. An envelope that was delayed for long may be of an earlier one:
+// only an echo of a challenge that was made since shows who lives at the address.
+func (m *Members) follows(p *member, env *Envelope) bool {
+	if p.candidate == env.Session {
+		return p.challenge != 0 && env.Echo == p.challenge
+	}
+	p.candidate = env.Session
+	m.sessions++
+	p.challenge = m.sessions
+	return false
+}
+
+// settleCandidate drops the candidate once p's known session has answered the
+// challenge: then the candidate is an earlier one.
+func (m *Members) settleCandidate(p *member, env *Envelope) {
+	if p.candidate == 0 || p.challenge == 0 || env.Echo != p.challenge {
+		return
+	}
+	if p.candidate != env.Session {
+		p.past[p.candidate] = true
+	}
+	p.candidate, p.challenge = 0, 0
+}
+
 // restart records that p has begun a new session.
 func (m *Members) restart(p *member, env *Envelope) {
 	if p.peerSession != 0 {
@@ -308,6 +348,9 @@
 	env.Session = p.session
 	env.ToSession = p.peerSession
 	env.Received = p.received
+	env.Challenge = p.challenge
+	p.challenged = p.challenge
+	env.Echo = p.echo
 	env.Sequence = p.sent
 	env.Zone = m.cfg.Zone
 	env.Leaving = m.leaving
@@ -331,11 +374,12 @@
 }
 
 // HeartbeatsDue returns the peers to which nothing was sent for the time
-// between heartbeats.
+// between heartbeats, or that are to be challenged.
 func (m *Members) HeartbeatsDue(now time.Time) []netip.AddrPort {
 	var due []netip.AddrPort
 	for _, addr := range m.Addresses() {
-		if now.Sub(m.peers[addr].sentAt) >= m.cfg.HeartbeatEvery {
+		p := m.peers[addr]
+		if now.Sub(p.sentAt) >= m.cfg.HeartbeatEvery || p.challenge != p.challenged {
 			due = append(due, addr)
 		}
 	}
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -67,12 +67,33 @@
 	send(start, old, a, second, self)
 	old.Stamp(start, self, late)
 	_, h := send(start, next, a, second, self)
+	is.True(!h.Fresh) // it may be an earlier one until it answers a challenge
+	send(start, a, next, self, second)
+	_, h = send(start, next, a, second, self)
 	is.True(h.Restarted)
 	is.True(a.Ended(second, 2))
 	is.True(!a.Ended(second, 3))
 	is.True(!a.Hear(start, second, late).Fresh)
 }
 
+func TestALateEnvelopeOfAnEarlierIncarnationEndsNothing(t *testing.T) {
+	is := is.New(t)
+	a, old, next := newMembers(self, 1), newMembers(second, 2), newMembers(second, 3)
+	send(start, a, old, self, second)
+	late, later := &peer.Envelope{}, &peer.Envelope{}
+	old.Stamp(start, self, late)
+	old.Stamp(start, self, later)
+	send(start, next, a, second, self)
+	is.True(!a.Hear(start, second, late).Fresh)
+	is.True(!a.Hear(start, second, later).Fresh)
+	is.True(!a.Ended(second, 3))
+	send(start, a, next, self, second)
+	_, h := send(start, next, a, second, self)
+	is.True(h.Fresh)
+	is.True(!h.Restarted)
+	is.Equal(a.Incarnation(second), uint64(3))
+}
+
 func TestAForgottenPeerIsNotCurrent(t *testing.T) {
 	is := is.New(t)
 	a, b := newMembers(self, 1), newMembers(second, 2)
@@ -88,6 +109,9 @@
 	_, h = send(later, b, a, second, self)
 	is.True(!h.Current)
 	_, h = send(later, a, b, self, second)
+	is.True(!h.Fresh)
+	send(later, b, a, second, self) // a challenge
+	_, h = send(later, a, b, self, second)
 	is.True(h.Restarted)
 	// What a sent before it forgot b is of an ended session.
 	is.True(!b.Hear(later, self, late).Fresh)
