amaranthwell: document operations; tell failed submissions from unknown ones by exit code

Cause: submit ended with 3 (unknown) for a job that had failed or not run and for a wrong option, entry with 3 for an unreadable settings file, though 2 is said to be for that; there was no operators' page. Change: submit 1 for failed, not-run and rejected, 2 for wrong options, 3 for unknown; entry 2 for an unreadable file.

--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -53,7 +53,7 @@
 func (c *entryCommand) Execute([]string) error {
 	text, err := os.ReadFile(c.Settings)
 	if err != nil {
-		return err
+		return &fileError{err: err}
 	}
 	settings, err := operator.ParseSettings(operator.File{Name: c.Settings, Body: text})
 	if err != nil {
--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -4,10 +4,11 @@
 //
 // Exit codes:
 //
-//	0  done; for publish, the edit was accepted
-//	1  the files are invalid, or the edit was refused
+//	0  done; for publish, the edit was accepted; for submit, the job is complete
+//	1  the files are invalid, the edit was refused, or the job failed or did not run
 //	2  the command line is wrong, or a file cannot be read
-//	3  unknown: the log gave no answer, or not all that is needed
+//	3  unknown: the log or the entry instances gave no answer, or not all that
+//	   is needed; for entry, the instance could not run
 package main
 
 import (
@@ -18,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/platform"
 )
@@ -35,7 +37,7 @@
 
 const description = `Checks, publishes and shows the tables of routes and pools.
 
-Exit codes: 0 done or accepted; 1 invalid or refused; 2 wrong command line or unreadable file; 3 unknown, since the log gave no answer.`
+Exit codes: 0 done, accepted or complete; 1 invalid, refused or failed; 2 wrong command line or unreadable file; 3 unknown, since no answer came, or an entry instance that could not run.`
 
 func main() {
 	env := environment{stdout: os.Stdout, stderr: os.Stderr, newLog: newLog}
@@ -137,10 +139,14 @@
 	var record *operator.RecordError
 	var refused *refusedError
 	var url *platform.ConfigError
+	var request *caller.RequestError
+	var incomplete *incompleteError
 	switch {
 	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &url):
 		return exitUsage
-	case errors.As(err, &check), errors.As(err, &record), errors.As(err, &refused):
+	case errors.As(err, &check), errors.As(err, &record), errors.As(err, &refused), errors.As(err, &request):
+		return exitRefused
+	case errors.As(err, &incomplete) && incomplete.answer.Status != caller.Unknown:
 		return exitRefused
 	default:
 		return exitUnknown
--- /dev/null
+++ b/cmd/amaranthwell/operations_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOperationsPageListsEverything looks up in the operators' page each name
+// that operators and callers meet.
+func TestOperationsPageListsEverything(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for _, source := range []struct {
+		file, pattern string
+		least         int
+	}{
+		{"metrics.go", "count\\((\"[^\"]*\"|`[^`]*`)", 20},
+		{"configuration.go", `"event", "([a-z-]+)"`, 4},
+		{"entry.go", `"event", "([a-z-]+)"`, 3},
+		{"router_logger.go", `"event", "([a-z-]+)"`, 1},
+		{"../../entry/changes.go", `ChangeKind = "([a-z-]+)"`, 2},
+		{"../../platform/subscription.go", `"event", "([a-z-]+)"`, 1},
+		{"../../caller/job.go", `Reason = "([a-z-]+)"`, 14},
+		{"../../caller/job.go", `Status = "([a-z-]+)"`, 4},
+		{"../../caller/request.go", `RequestFault = "([a-z-]+)"`, 9},
+		{"../../operator/verdict.go", `Reason = "([a-z-]+)"`, 6},
+		{"../../operator/settings.go", `toml:"([a-z-]+)"`, 8},
+		{"../../operator/rows.go", `toml:"([a-z-]+)"`, 15},
+		{"main.go", `AddCommand\("([a-z]+)"`, 6},
+	} {
+		text, err := os.ReadFile(source.file)
+		is.NoErr(err)
+		names := regexp.MustCompile(source.pattern).FindAllStringSubmatch(string(text), -1)
+		is.True(len(names) >= source.least) // the pattern still finds the names
+		for _, match := range names {
+			name := strings.Trim(match[1], "\"`")
+			if slices.Contains([]string{"routes", "pools", "servers"}, name) {
+				continue // a table, not a key
+			}
+			if !strings.Contains(string(page), "`"+name+"`") {
+				t.Errorf("docs/OPERATIONS.md lacks `%s` of %s", name, source.file)
+			}
+		}
+	}
+}
--- a/cmd/amaranthwell/submit.go
+++ b/cmd/amaranthwell/submit.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 
 	"github.com/amaranthwell/amaranthwell/caller"
 )
@@ -63,10 +63,10 @@
 // job returns the job that the options describe.
 func (c *submitCommand) job() (caller.Job, error) {
 	if c.Tasks < 1 || c.Tasks > caller.MaxTasks {
-		return caller.Job{}, errors.Newf("--tasks must be in [1, %d]", caller.MaxTasks)
+		return caller.Job{}, usage(fmt.Sprintf("--tasks must be in [1, %d]", caller.MaxTasks))
 	}
 	if c.Timeout <= 0 {
-		return caller.Job{}, errors.New("--timeout must be positive")
+		return caller.Job{}, usage("--timeout must be positive")
 	}
 	job := caller.Job{Route: c.Route, Timeout: c.Timeout, Tasks: make([][]byte, c.Tasks)}
 	for i := range job.Tasks {
@@ -76,8 +76,16 @@
 		return job, nil
 	}
 	key, err := caller.ParseKey(c.Key)
+	if err != nil {
+		return caller.Job{}, usage("--key: " + err.Error())
+	}
 	job.Key = key
-	return job, err
+	return job, nil
+}
+
+// usage returns the error of a wrong command line.
+func usage(message string) error {
+	return &flags.Error{Type: flags.ErrInvalidChoice, Message: message}
 }
 
 // client returns a client of the entries, which it asks in a random order.
@@ -86,7 +94,7 @@
 	for i, text := range c.Entries {
 		entry, err := url.Parse(text)
 		if err != nil {
-			return nil, err
+			return nil, usage("--entry: " + err.Error())
 		}
 		entries[i] = entry
 	}
--- a/cmd/amaranthwell/submit_test.go
+++ b/cmd/amaranthwell/submit_test.go
@@ -22,9 +22,12 @@
 		body    string
 		summary string
 		status  caller.Status
+		exit    int
 	}{
-		{`{"key":%q,"status":"complete","results":["",""]}`, `^job \S+ status=complete tasks=2 took=\S+\n$`, caller.Complete},
-		{`{"key":%q,"status":"failed","reason":"task-failed"}`, `^job \S+ status=failed reason=task-failed tasks=2 took=\S+\n$`, caller.Failed},
+		{`{"key":%q,"status":"complete","results":["",""]}`, `^job \S+ status=complete tasks=2 took=\S+\n$`, caller.Complete, exitDone},
+		{`{"key":%q,"status":"failed","reason":"task-failed"}`, `^job \S+ status=failed reason=task-failed tasks=2 took=\S+\n$`, caller.Failed, exitRefused},
+		{`{"key":%q,"status":"not-run","reason":"unknown-route"}`, `^job \S+ status=not-run reason=unknown-route tasks=2 took=\S+\n$`, caller.NotRun, exitRefused},
+		{`{"key":%q,"status":"unknown","reason":"owner-gone"}`, `^job \S+ status=unknown reason=owner-gone tasks=2 took=\S+\n$`, caller.Unknown, exitUnknown},
 	}
 	for _, test := range tests {
 		is := is.New(t)
@@ -39,6 +42,9 @@
 		server.Close()
 		var incomplete *incompleteError
 		is.Equal(errors.As(err, &incomplete), test.status != caller.Complete)
+		if err != nil {
+			is.Equal(exitCode(err), test.exit)
+		}
 		is.True(regexp.MustCompile(test.summary).MatchString(out.String()))
 	}
 }
