demo: let all submissions come again while their owner is paused

Cause: the owner was let go on while the repeated submissions were still on their way, so that few of them met it paused. Change: wait until the other instances have taken all of them.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -132,8 +132,17 @@
 		}
 		return suspected && time.Since(stopped) >= pause
 	})
+	submitted := func() int {
+		sum := 0
+		for _, e := range entries[1:] {
+			sum += n.metric(e, "amaranthwell_caller_submitted_total")
+		}
+		return sum
+	}
+	before := submitted()
 	var group sync.WaitGroup
 	group.Go(func() { n.settle(all, entries[1:], answered) })
+	n.await("all submissions again", func() bool { return submitted() >= before+len(all) })
 	n.is.NoErr(process.Signal(syscall.SIGCONT))
 	group.Wait()
 	wait()
