--- /dev/null
+++ b/cmd/amaranthwell-slopes/jobs.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// The instances of a path.
+const (
+	relay = iota
+	owner
+	holder
+	roles
+)
+
+// The messages of a path.
+const (
+	relayToOwner = iota
+	ownerToHolder
+	holderToOwner
+	ownerToRelay
+	messages
+)
+
+var roleNames = [roles]string{"relay", "owner", "holder"}
+
+// payloadBytes is the size of a task's payload and of its result.
+const payloadBytes = 64
+
+// maxEvents is the number of outcomes between two calls of Take under load, as
+// in the daemon.
+const maxEvents = 512
+
+// A path is three instances through which jobs go: a relay that callers reach,
+// the owner of the keys, and the holder of all workers.
+type path struct {
+	nodes [roles]*entry.Instance
+	now   time.Time
+	// metered says that processor times and allocations are read.
+	metered bool
+	time    [roles]time.Duration
+	allocs  [roles]uint64
+	// wire holds the bytes and envelopes the number of each message, codec
+	// the processor time of marshalling and parsing them.
+	wire      [messages]int
+	envelopes [messages]int
+	codec     time.Duration
+	answered  int
+}
+
+// newPath returns a path whose instances know each other.
+func newPath(workers int) *path {
+	p := &path{now: start}
+	zones := func(n int) string { return zoneName(min(n, 1)) }
+	tables := inZone(newTables(workers, tablesRoutes), "workers")
+	for n := range roles {
+		p.nodes[n] = newInstance(n, zoneName(n), roles, zones)
+	}
+	p.nodes[holder] = newInstance(holder, "workers", roles, zones)
+	for n := range roles {
+		p.nodes[n].SetTables(p.now, tables, 1, nil)
+	}
+	for range 8 {
+		p.beat()
+	}
+	return p
+}
+
+// beat lets a heartbeat's time pass and carries the heartbeats.
+func (p *path) beat() {
+	p.now = p.now.Add(time.Second)
+	for n := range roles {
+		p.nodes[n].Tick(p.now)
+		for _, s := range p.nodes[n].Take(p.now).Sends {
+			p.nodes[roleAt(s)].Receive(p.now, instanceAddress(n), s.Envelope)
+		}
+	}
+}
+
+// roleAt returns the instance that an envelope goes to.
+func roleAt(s entry.Send) int {
+	for n := range roles {
+		if instanceAddress(n) == s.To {
+			return n
+		}
+	}
+	panic("no such instance")
+}
+
+// meter adds to a role what f spends.
+func (p *path) meter(role int, f func()) {
+	if !p.metered {
+		f()
+		return
+	}
+	allocs, begin := mallocs(), used()
+	f()
+	p.time[role] += used() - begin
+	p.allocs[role] += mallocs() - allocs
+}
+
+// run takes jobs of the given number of tasks from the caller to the answer,
+// and returns the number of answers. Batch is the number of outcomes between
+// two calls of the holder's Take.
+func (p *path) run(jobs, tasks, batch int) int {
+	p.answered = 0
+	payloads := make([][]byte, tasks)
+	for n := range payloads {
+		payloads[n] = make([]byte, payloadBytes)
+	}
+	batchOfJobs := make([]caller.Job, jobs)
+	for n := range batchOfJobs {
+		key, _ := p.nodes[owner].IssueKey(p.now)
+		batchOfJobs[n] = caller.Job{Key: key, Route: routeName(0), Tasks: payloads}
+	}
+	var sends []entry.Send
+	p.meter(relay, func() {
+		for n, j := range batchOfJobs {
+			p.nodes[relay].Submit(p.now, entry.CallerID(n+1), j)
+		}
+		sends = p.nodes[relay].Take(p.now).Sends
+	})
+	sends = p.deliver(relay, owner, relayToOwner, sends)
+	starts := p.startHeld(sends)
+	for len(starts) > 0 {
+		n := min(batch, len(starts))
+		var effects entry.Effects
+		p.meter(holder, func() {
+			for _, s := range starts[:n] {
+				p.nodes[holder].TaskDone(p.now, s.Task, backend.Outcome{Kind: backend.Done, Body: s.Payload})
+			}
+			effects = p.nodes[holder].Take(p.now)
+		})
+		starts = append(starts[n:], effects.Starts...)
+		sends = p.deliver(holder, owner, holderToOwner, effects.Sends)
+		p.deliver(owner, relay, ownerToRelay, sends)
+		starts = append(starts, p.startHeld(sends)...)
+	}
+	p.beat()
+	return p.answered
+}
+
+// startHeld hands the owner's runs to the holder and returns the starts.
+func (p *path) startHeld(sends []entry.Send) []entry.Start {
+	var starts []entry.Start
+	for _, s := range sends {
+		if roleAt(s) != holder {
+			continue
+		}
+		env := p.copy(ownerToHolder, s.Envelope)
+		p.meter(holder, func() {
+			p.nodes[holder].Receive(p.now, instanceAddress(owner), env)
+			effects := p.nodes[holder].Take(p.now)
+			starts = append(starts, effects.Starts...)
+		})
+	}
+	return starts
+}
+
+// deliver hands envelopes to an instance and returns what it sends.
+func (p *path) deliver(from, to, message int, sends []entry.Send) []entry.Send {
+	var replies []entry.Send
+	for _, s := range sends {
+		if roleAt(s) != to {
+			continue
+		}
+		env := p.copy(message, s.Envelope)
+		p.meter(to, func() {
+			p.nodes[to].Receive(p.now, instanceAddress(from), env)
+			effects := p.nodes[to].Take(p.now)
+			replies = append(replies, effects.Sends...)
+			p.answered += len(effects.Answers)
+		})
+	}
+	return replies
+}
+
+// copy carries an envelope over the wire's form.
+func (p *path) copy(message int, env *peer.Envelope) *peer.Envelope {
+	begin := used()
+	body, err := proto.Marshal(env)
+	if err != nil {
+		panic(err)
+	}
+	received := &peer.Envelope{}
+	if err := proto.Unmarshal(body, received); err != nil {
+		panic(err)
+	}
+	p.codec += used() - begin
+	p.wire[message] += len(body)
+	p.envelopes[message]++
+	return received
+}
+
+// pathTasks bounds the tasks that are in the path at once, and pathTrials is the
+// number of times that they go through it.
+const (
+	pathTasks  = 2600
+	pathTrials = 12
+)
+
+// jobsByTasks measures the control time and allocations of a job at each role,
+// with the envelopes of a busy instance.
+func jobsByTasks() []slope {
+	var all []slope
+	for n := range roles {
+		all = append(all,
+			slope{Name: "job-time-" + roleNames[n], What: "entry.Instance at the " + roleNames[n] + " of a job, from the caller to the answer, up to 512 outcomes an envelope", Unit: "ns", By: "task"},
+			slope{Name: "job-allocations-" + roleNames[n], What: "allocations of the same", Unit: "allocations", By: "task"})
+	}
+	codec := slope{Name: "job-time-codec", What: "marshalling and parsing all envelopes of a job, at all instances together", Unit: "ns", By: "task"}
+	for _, tasks := range taskSizes {
+		p, jobs := runPath(tasks, maxEvents)
+		for n := range roles {
+			all[2*n].add(tasks, float64(p.time[n])/jobs)
+			all[2*n+1].add(tasks, float64(p.allocs[n])/jobs)
+		}
+		codec.add(tasks, float64(p.codec)/jobs)
+	}
+	all = append(all, codec)
+	single := slope{Name: "job-time-holder-single", What: "entry.Instance at the holder with one outcome an envelope, as an instance with little to do", Unit: "ns", By: "task"}
+	for _, tasks := range taskSizes {
+		p, jobs := runPath(tasks, 1)
+		single.add(tasks, float64(p.time[holder])/jobs)
+	}
+	return append(all, single)
+}
+
+// runPath takes jobs of one size through a path, and returns it with the number
+// of jobs.
+func runPath(tasks, batch int) (*path, float64) {
+	p := newPath(operator.MaxServers / 4)
+	jobs := max(1, pathTasks/tasks)
+	p.run(jobs, tasks, batch)
+	runtime.GC()
+	p.metered, p.codec = true, 0
+	for n := range messages {
+		p.wire[n], p.envelopes[n] = 0, 0
+	}
+	for range pathTrials {
+		if p.run(jobs, tasks, batch) != jobs {
+			panic("a job without an answer")
+		}
+	}
+	return p, float64(pathTrials * jobs)
+}
+
+// wireByTasks measures the bytes of the messages of one job that goes alone.
+func wireByTasks() []slope {
+	names := [messages]string{"submit", "run", "result", "answer"}
+	var all []slope
+	for n := range messages {
+		all = append(all, slope{Name: "wire-bytes-" + names[n], What: "bytes of the envelopes that carry the " + names[n] + " part of one job, payloads and results of 64 bytes, up to 512 outcomes an envelope", Unit: "bytes", By: "task"})
+	}
+	single := slope{Name: "wire-bytes-result-single", What: "the same of the results with one outcome an envelope", Unit: "bytes", By: "task"}
+	for _, tasks := range taskSizes {
+		p := newPath(operator.MaxServers / 4)
+		p.run(1, tasks, maxEvents)
+		for n := range messages {
+			all[n].add(tasks, float64(p.wire[n]))
+		}
+		p = newPath(operator.MaxServers / 4)
+		p.run(1, tasks, 1)
+		single.add(tasks, float64(p.wire[holderToOwner]))
+	}
+	return append(all, single)
+}
--- /dev/null
+++ b/cmd/amaranthwell-slopes/peers.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// oneZone and spreadZones place instances.
+func oneZone(int) string { return zoneName(0) }
+
+// newMembers returns beliefs in which all peers live.
+func newMembers(peers int, zoneOf func(int) string) *peer.Members {
+	m := peer.NewMembers(peer.MembersConfig{Self: instanceAddress(peers), Zone: zoneName(0), Incarnation: 1})
+	m.SetList(start, newList(peers, zoneOf))
+	for n := range peers {
+		m.Hear(start, instanceAddress(n), hello(n, zoneOf(n), 1))
+	}
+	return m
+}
+
+func membersByPeers() []slope {
+	memory := slope{Name: "members-memory-by-peers", What: "heap of a peer.Members in which all peers live", Unit: "bytes", By: "peer"}
+	tick := slope{Name: "members-tick-by-peers", What: "peer.Members.Tick and HeartbeatsDue with none due", Unit: "ns", By: "peer"}
+	list := slope{Name: "members-list-by-peers", What: "peer.Members.SetList", Unit: "ns", By: "peer"}
+	for _, n := range peerSizes {
+		memory.add(n, heapOf(func() *peer.Members { return newMembers(n, oneZone) }))
+		m := newMembers(n, oneZone)
+		for at := range n {
+			m.Stamp(start, instanceAddress(at), &peer.Envelope{})
+		}
+		now := start.Add(time.Millisecond)
+		tick.add(n, nanosOf(func() {
+			m.Tick(now)
+			m.HeartbeatsDue(now)
+		}))
+		l := newList(n, oneZone)
+		list.add(n, nanosOf(func() { m.SetList(now, l) }))
+	}
+	return []slope{memory, tick, list}
+}
+
+// assignmentByPeers measures the choice of a holder for each of 1,700 workers.
+func assignmentByPeers() []slope {
+	one := slope{Name: "assignment-one-zone-by-peers", What: "peer.Members.Holder for 1,700 workers, all instances and workers in one zone", Unit: "ns", By: "peer"}
+	many := slope{Name: "assignment-20-zones-by-peers", What: "peer.Members.Holder for 1,700 workers over 20 zones", Unit: "ns", By: "peer"}
+	t := newTables(fleetWorkers, 1)
+	for _, n := range peerSizes {
+		m := newMembers(n, oneZone)
+		one.add(n, nanosOf(func() {
+			for _, s := range t.Pools[0].Servers {
+				m.Holder(s.Address, zoneName(0))
+			}
+		}))
+		m = newMembers(n, zoneName)
+		many.add(n, nanosOf(func() {
+			for _, s := range t.Pools[0].Servers {
+				m.Holder(s.Address, s.Zone)
+			}
+		}))
+	}
+	return []slope{one, many}
+}
+
+// idleInstance returns an instance with tables whose peers all live.
+func idleInstance(peers, workers, routes int, zoneOf func(int) string) *entry.Instance {
+	i := newInstance(peers, zoneName(0), peers, zoneOf)
+	i.SetTables(start, newTables(workers, routes), 1, nil)
+	for n := range peers {
+		i.Receive(start, instanceAddress(n), hello(n, zoneOf(n), 1))
+	}
+	i.Take(start)
+	i.Take(start)
+	return i
+}
+
+// instanceByPeers measures a whole instance that has nothing to do.
+func instanceByPeers() []slope {
+	memory := slope{Name: "instance-memory-by-peers", What: "heap of an entry.Instance with 1,700 workers and 16 routes in 20 zones, without work", Unit: "bytes", By: "peer"}
+	idle := slope{Name: "instance-tick-by-peers", What: "entry.Instance.Tick and Take without work and without heartbeats due", Unit: "ns", By: "peer"}
+	receive := slope{Name: "instance-heartbeats-by-peers", What: "entry.Instance.Receive of a heartbeat of every peer, and one Take that answers all", Unit: "ns", By: "peer"}
+	for _, n := range peerSizes {
+		memory.add(n, heapOf(func() *entry.Instance { return idleInstance(n, fleetWorkers, tablesRoutes, zoneName) }))
+		i := idleInstance(n, fleetWorkers, tablesRoutes, zoneName)
+		now := start.Add(time.Millisecond)
+		idle.add(n, nanosOf(func() {
+			i.Tick(now)
+			i.Take(now)
+		}))
+		sequence := uint64(1)
+		receive.add(n, nanosOf(func() {
+			sequence++
+			now = now.Add(time.Second)
+			for at := range n {
+				i.Receive(now, instanceAddress(at), hello(at, zoneName(at), sequence))
+			}
+			i.Take(now)
+		}))
+	}
+	return []slope{memory, idle, receive}
+}
+
+// heartbeatByRoutes measures an envelope without work by the routes of which
+// its load tells.
+func heartbeatByRoutes() []slope {
+	s := slope{Name: "heartbeat-bytes-by-routes", What: "proto.Size of an envelope without work, whose load tells of the routes of one pool and three speeds of server", Unit: "bytes", By: "route"}
+	for _, n := range append([]int{0}, routeSizes...) {
+		env := hello(0, zoneName(0), 1<<20)
+		env.Incarnation, env.Session, env.ToSession = 1<<63, 1<<63, 1<<63
+		env.Received, env.ConfigurationOffset = 1<<20, 1<<20
+		l := &peer.PoolLoad{Pool: "editing", Slots: 680, Free: 200}
+		for _, slowness := range []float32{0.8, 1, 1.25} {
+			l.Idle = append(l.Idle, &peer.Idle{Free: 66, Slowness: slowness})
+		}
+		for r := range n {
+			l.Routes = append(l.Routes, &peer.RouteLoad{Route: routeName(r), Queued: 5, TypicalNanos: 200e6})
+		}
+		env.Load = &peer.Load{Pools: []*peer.PoolLoad{l}}
+		s.add(n, float64(proto.Size(env)))
+	}
+	return []slope{s}
+}
+
+// instanceByRoutes measures what routes cost an instance without work. The
+// routes stand for teams.
+func instanceByRoutes() []slope {
+	memory := slope{Name: "instance-memory-by-routes", What: "heap of an entry.Instance with 1,700 workers and 8 peers, without work", Unit: "bytes", By: "route"}
+	idle := slope{Name: "instance-tick-by-routes", What: "entry.Instance.Tick and Take without work and without heartbeats due", Unit: "ns", By: "route"}
+	send := slope{Name: "instance-heartbeats-by-routes", What: "entry.Instance.Receive of a heartbeat of each of 8 peers, and one Take that answers all", Unit: "ns", By: "route"}
+	const peers = 8
+	for _, n := range routeSizes {
+		memory.add(n, heapOf(func() *entry.Instance { return idleInstance(peers, fleetWorkers, n, oneZone) }))
+		i := idleInstance(peers, fleetWorkers, n, oneZone)
+		now := start.Add(time.Millisecond)
+		idle.add(n, nanosOf(func() {
+			i.Tick(now)
+			i.Take(now)
+		}))
+		sequence := uint64(1)
+		send.add(n, nanosOf(func() {
+			sequence++
+			now = now.Add(time.Second)
+			for at := range peers {
+				i.Receive(now, instanceAddress(at), hello(at, oneZone(at), sequence))
+			}
+			i.Take(now)
+		}))
+	}
+	return []slope{memory, idle, send}
+}
+
--- /dev/null
+++ b/cmd/amaranthwell-slopes/slope.go
@@ -0,0 +1,61 @@
+package main
+
+import "math"
+
+// A report is the file of slopes.
+type report struct {
+	Slopes []slope `toml:"slopes"`
+}
+
+// A slope is a straight line through readings at several sizes.
+type slope struct {
+	// Name identifies the slope, What says what was read and how.
+	Name string `toml:"name"`
+	What string `toml:"what"`
+	// Unit is the unit of the readings, By that of the sizes.
+	Unit string `toml:"unit"`
+	By   string `toml:"by"`
+	// Sizes and Readings belong together by position.
+	Sizes    []int     `toml:"sizes"`
+	Readings []float64 `toml:"readings"`
+	// Intercept and Slope are those of the least-squares line, in Unit and
+	// in Unit a By.
+	Intercept float64 `toml:"intercept"`
+	Slope     float64 `toml:"slope"`
+	// Misfit is the largest distance of a reading from the line, as a share
+	// of the largest reading.
+	Misfit float64 `toml:"misfit"`
+	// Command measures the slope anew.
+	Command string `toml:"command"`
+}
+
+// add appends a reading.
+func (s *slope) add(size int, reading float64) {
+	s.Sizes = append(s.Sizes, size)
+	s.Readings = append(s.Readings, reading)
+}
+
+// fit sets the line through the readings. It needs two sizes.
+func (s *slope) fit() {
+	n := float64(len(s.Sizes))
+	var meanX, meanY, xx, xy, most float64
+	for i, x := range s.Sizes {
+		meanX += float64(x) / n
+		meanY += s.Readings[i] / n
+	}
+	for i, x := range s.Sizes {
+		dx := float64(x) - meanX
+		xx += dx * dx
+		xy += dx * (s.Readings[i] - meanY)
+	}
+	s.Slope = xy / xx
+	s.Intercept = meanY - s.Slope*meanX
+	s.Misfit = 0
+	for i, x := range s.Sizes {
+		s.Misfit = max(s.Misfit, math.Abs(s.Readings[i]-s.Intercept-s.Slope*float64(x)))
+		most = max(most, math.Abs(s.Readings[i]))
+	}
+	if most > 0 {
+		s.Misfit /= most
+	}
+}
