amaranthwell-slopes: measure HTTP, the list, memory a task, single outcomes

Cause: the processor time a task decides the number of entry instances, and under an even load each envelope carries one outcome. History slopes keep their records alive now.

--- a/cmd/amaranthwell-slopes/fleet.go
+++ b/cmd/amaranthwell-slopes/fleet.go
@@ -26,8 +26,8 @@
 
 // workerSizes, peerSizes and routeSizes are the sizes that are measured.
 var (
-	workerSizes = []int{10, 100, 400, 850, 1700}
-	peerSizes   = []int{8, 40, 100, 200, 400}
+	workerSizes = []int{10, 85, 340, 850, 1700}
+	peerSizes   = []int{8, 12, 60, 200, 400}
 	routeSizes  = []int{1, 16, 65, 130, 260}
 	taskSizes   = []int{1, 10, 100, 400, 1300}
 )
--- a/cmd/amaranthwell-slopes/jobs.go
+++ b/cmd/amaranthwell-slopes/jobs.go
@@ -183,6 +183,42 @@
 	return replies
 }
 
+// submit gives a job with n tasks to its owner and returns the envelopes to the
+// holder in the wire's form.
+func (p *path) submit(key caller.Key, n int) [][]byte {
+	payloads := make([][]byte, n)
+	for at := range payloads {
+		payloads[at] = make([]byte, payloadBytes)
+	}
+	p.nodes[owner].Submit(p.now, 1, caller.Job{Key: key, Route: routeName(0), Tasks: payloads})
+	var bodies [][]byte
+	for _, s := range p.nodes[owner].Take(p.now).Sends {
+		body, err := proto.Marshal(s.Envelope)
+		if err != nil {
+			panic(err)
+		}
+		bodies = append(bodies, body)
+	}
+	return bodies
+}
+
+// hold hands envelopes of the owner to the holder, which starts their tasks.
+func (p *path) hold(bodies [][]byte) {
+	for _, body := range bodies {
+		env := &peer.Envelope{}
+		if err := proto.Unmarshal(body, env); err != nil {
+			panic(err)
+		}
+		for _, r := range env.Runs {
+			for _, t := range r.Tasks {
+				t.Payload = nil
+			}
+		}
+		p.nodes[holder].Receive(p.now, instanceAddress(owner), env)
+	}
+	p.nodes[holder].Take(p.now)
+}
+
 // copy carries an envelope over the wire's form.
 func (p *path) copy(message int, env *peer.Envelope) *peer.Envelope {
 	begin := used()
@@ -226,12 +262,25 @@
 		codec.add(tasks, float64(p.codec)/jobs)
 	}
 	all = append(all, codec)
-	single := slope{Name: "job-time-holder-single", What: "entry.Instance at the holder with one outcome an envelope, as an instance with little to do", Unit: "ns", By: "task"}
+	return append(all, jobsBySingleOutcomes()...)
+}
+
+// jobsBySingleOutcomes measures the same with an envelope an outcome, as
+// instances do that have little to do.
+func jobsBySingleOutcomes() []slope {
+	all := make([]slope, 0, roles+1)
+	for n := range roles {
+		all = append(all, slope{Name: "job-time-" + roleNames[n] + "-single", What: "entry.Instance at the " + roleNames[n] + " with one outcome an envelope", Unit: "ns", By: "task"})
+	}
+	codec := slope{Name: "job-time-codec-single", What: "marshalling and parsing all envelopes of a job with one outcome an envelope, at all instances together", Unit: "ns", By: "task"}
 	for _, tasks := range taskSizes {
 		p, jobs := runPath(tasks, 1)
-		single.add(tasks, float64(p.time[holder])/jobs)
+		for n := range roles {
+			all[n].add(tasks, float64(p.time[n])/jobs)
+		}
+		codec.add(tasks, float64(p.codec)/jobs)
 	}
-	return append(all, single)
+	return append(all, codec)
 }
 
 // runPath takes jobs of one size through a path, and returns it with the number
--- a/cmd/amaranthwell-slopes/main.go
+++ b/cmd/amaranthwell-slopes/main.go
@@ -67,4 +67,8 @@
 	keysByNumber,
 	jobsByTasks,
 	wireByTasks,
+	memoryByTasks,
+	listByInstances,
+	jobsFromCallers,
+	tasksOverHTTP,
 }
--- a/cmd/amaranthwell-slopes/peers.go
+++ b/cmd/amaranthwell-slopes/peers.go
@@ -9,7 +9,7 @@
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
-// oneZone and spreadZones place instances.
+// oneZone places all instances in one availability zone.
 func oneZone(int) string { return zoneName(0) }
 
 // newMembers returns beliefs in which all peers live.
@@ -151,4 +151,3 @@
 	}
 	return []slope{memory, idle, send}
 }
-
--- a/cmd/amaranthwell-slopes/tables.go
+++ b/cmd/amaranthwell-slopes/tables.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"runtime"
+
 	"github.com/amaranthwell/amaranthwell/operator"
 )
 
@@ -48,6 +50,8 @@
 			}
 		}))
 		memory.add(n, heapOf(func() *operator.History { return replay(edits[:1]) }))
+		runtime.KeepAlive(edits)
+		runtime.KeepAlive(snapshot)
 	}
 	return []slope{edit, apply, bytes, encode, adopt, memory}
 }
@@ -77,6 +81,7 @@
 		}
 		bytes.add(n, float64(len(replay(edits).Snapshot())))
 		memory.add(n, heapOf(func() *operator.History { return replay(edits) }))
+		runtime.KeepAlive(edits)
 		apply.add(n, nanosOf(func() { replay(edits) })/float64(n))
 	}
 	return []slope{bytes, memory, apply}
--- /dev/null
+++ b/cmd/amaranthwell-slopes/traffic.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/standin"
+)
+
+// tasksAtOnce is the number of tasks that are on their way to the bare backend
+// server at once.
+const tasksAtOnce = 64
+
+// listByInstances measures one reading of the platform's list over loopback.
+func listByInstances() []slope {
+	wire := slope{Name: "list-bytes-by-instances", What: "body of the platform's list of entry instances and backend servers", Unit: "bytes", By: "instance"}
+	spent := slope{Name: "list-time-by-instances", What: "platform.ListClient.List, with the stand-in that answers, over loopback", Unit: "ns", By: "instance"}
+	for _, n := range workerSizes {
+		instances := standin.NewInstances(standin.InstancesConfig{})
+		for at := range n {
+			instances.Put(standin.Instance{Address: serverAddress(at), Kind: string(platform.BackendServer), Zone: zoneName(at)})
+		}
+		server := httptest.NewServer(instances)
+		client, err := platform.NewListClient(platform.ListConfig{URL: server.URL})
+		if err != nil {
+			panic(err)
+		}
+		recorder := httptest.NewRecorder()
+		instances.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/instances", http.NoBody))
+		wire.add(n, float64(recorder.Body.Len()))
+		spent.add(n, nanosOf(func() {
+			if _, err := client.List(context.Background()); err != nil {
+				panic(err)
+			}
+		}))
+		_ = client.Close()
+		server.Close()
+	}
+	return []slope{wire, spent}
+}
+
+// tasksOverHTTP measures the protocol to backend servers over loopback, both
+// ends together.
+func tasksOverHTTP() []slope {
+	s := slope{Name: "backend-time-by-tasks", What: "backend.Client.Run of tasks, 64 at once over loopback, with a bare HTTP server that echoes 64 bytes", Unit: "ns", By: "task"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}))
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	client, err := backend.NewClient(backend.ClientConfig{})
+	if err != nil {
+		panic(err)
+	}
+	defer client.Close()
+	payload := make([]byte, payloadBytes)
+	for _, n := range []int{100, 400, 1300, 5200} {
+		s.add(n, nanosOf(func() {
+			var group sync.WaitGroup
+			for first := range tasksAtOnce {
+				group.Go(func() {
+					for index := first; index < n; index += tasksAtOnce {
+						runTask(client, address, index, payload)
+					}
+				})
+			}
+			group.Wait()
+		}))
+	}
+	return []slope{s}
+}
+
+// runTask runs one task, which is to succeed.
+func runTask(client *backend.Client, address netip.AddrPort, index int, payload []byte) {
+	o := client.Run(context.Background(), backend.Request{
+		Server: address, Key: "key", Index: index, Attempt: 1, Route: routeName(0),
+		Timeout: 5 * time.Second, Payload: payload,
+	})
+	if o.Kind != backend.Done {
+		panic(o.Err)
+	}
+}
+
+// An echo answers each job with its own tasks.
+type echo struct{ keys *caller.Keys }
+
+// Submit returns the job's tasks as its results.
+func (echo) Submit(_ context.Context, job caller.Job) (caller.Answer, error) {
+	return caller.Answer{Key: job.Key, Status: caller.Complete, Results: job.Tasks}, nil
+}
+
+// IssueKeys returns n new keys.
+func (e echo) IssueKeys(n int) ([]caller.Key, error) {
+	keys := make([]caller.Key, 0, n)
+	for range n {
+		keys = append(keys, e.keys.Issue(start))
+	}
+	return keys, nil
+}
+
+// Cancel does nothing.
+func (echo) Cancel(context.Context, caller.Key) error { return nil }
+
+// jobsFromCallers measures the callers' protocol without a socket.
+func jobsFromCallers() []slope {
+	s := slope{Name: "caller-time-by-tasks", What: "caller.NewHandler: one job with payloads of 64 bytes read and answered, without a socket", Unit: "ns", By: "task"}
+	keys := newKeyBook().keys
+	handler := caller.NewHandler(caller.HandlerConfig{Submitter: echo{keys}, UseWithin: 30 * time.Second})
+	payload := `"` + base64.StdEncoding.EncodeToString(make([]byte, payloadBytes)) + `"`
+	for _, n := range taskSizes {
+		list := strings.Repeat(payload+",", n-1) + payload
+		body := []byte(`{"route":"` + routeName(0) + `","tasks":[` + list + `]}`)
+		s.add(n, nanosOf(func() {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/jobs", bytes.NewReader(body)))
+			if recorder.Code != http.StatusOK {
+				panic(recorder.Body.String())
+			}
+		}))
+	}
+	return []slope{s}
+}
+
+// memoryByTasks measures what the tasks of one job take at its owner and at
+// the holder, while they run.
+func memoryByTasks() []slope {
+	own := slope{Name: "job-memory-owner", What: "heap that a job takes at its owner while its tasks run, with payloads of 64 bytes", Unit: "bytes", By: "task"}
+	hold := slope{Name: "job-memory-holder", What: "heap that a job takes at the holder while its tasks run, without payloads", Unit: "bytes", By: "task"}
+	for _, n := range taskSizes {
+		p := newPath(fleetWorkers)
+		key, _ := p.nodes[owner].IssueKey(p.now)
+		var runs [][]byte
+		own.add(n, heapOf(func() *path {
+			runs = p.submit(key, n)
+			return p
+		})-float64(bytesOf(runs)))
+		hold.add(n, heapOf(func() *path {
+			p.hold(runs)
+			return p
+		}))
+	}
+	return []slope{own, hold}
+}
+
+func bytesOf(bodies [][]byte) int {
+	total := 0
+	for _, b := range bodies {
+		total += cap(b)
+	}
+	return total
+}
