--- a/cmd/amaranthwell-slopes/jobs.go
+++ b/cmd/amaranthwell-slopes/jobs.go
@@ -44,10 +44,11 @@
 type path struct {
 	nodes [roles]*entry.Instance
 	now   time.Time
-	// metered says that processor times and allocations are read.
-	metered bool
-	time    [roles]time.Duration
-	allocs  [roles]uint64
+	// timed says that processor times are read, and counted that allocations
+	// are, which disturbs the times of short steps.
+	timed, counted bool
+	time           [roles]time.Duration
+	allocs         [roles]uint64
 	// wire holds the bytes and envelopes the number of each message, codec
 	// the processor time of marshalling and parsing them.
 	wire      [messages]int
@@ -97,14 +98,18 @@
 
 // meter adds to a role what f spends.
 func (p *path) meter(role int, f func()) {
-	if !p.metered {
+	switch {
+	case p.timed:
+		begin := used()
+		f()
+		p.time[role] += used() - begin
+	case p.counted:
+		before := mallocs()
+		f()
+		p.allocs[role] += mallocs() - before
+	default:
 		f()
-		return
 	}
-	allocs, begin := mallocs(), used()
-	f()
-	p.time[role] += used() - begin
-	p.allocs[role] += mallocs() - allocs
 }
 
 // run takes jobs of the given number of tasks from the caller to the answer,
@@ -255,11 +260,12 @@
 	codec := slope{Name: "job-time-codec", What: "marshalling and parsing all envelopes of a job, at all instances together", Unit: "ns", By: "task"}
 	for _, tasks := range taskSizes {
 		p, jobs := runPath(tasks, maxEvents)
+		trials := float64(pathTrials * jobs)
 		for n := range roles {
-			all[2*n].add(tasks, float64(p.time[n])/jobs)
-			all[2*n+1].add(tasks, float64(p.allocs[n])/jobs)
+			all[2*n].add(tasks, float64(p.time[n])/trials)
+			all[2*n+1].add(tasks, float64(p.allocs[n])/float64(jobs))
 		}
-		codec.add(tasks, float64(p.codec)/jobs)
+		codec.add(tasks, float64(p.codec)/trials)
 	}
 	all = append(all, codec)
 	return append(all, jobsBySingleOutcomes()...)
@@ -275,31 +281,36 @@
 	codec := slope{Name: "job-time-codec-single", What: "marshalling and parsing all envelopes of a job with one outcome an envelope, at all instances together", Unit: "ns", By: "task"}
 	for _, tasks := range taskSizes {
 		p, jobs := runPath(tasks, 1)
+		trials := float64(pathTrials * jobs)
 		for n := range roles {
-			all[n].add(tasks, float64(p.time[n])/jobs)
+			all[n].add(tasks, float64(p.time[n])/trials)
 		}
-		codec.add(tasks, float64(p.codec)/jobs)
+		codec.add(tasks, float64(p.codec)/trials)
 	}
 	return append(all, codec)
 }
 
 // runPath takes jobs of one size through a path, and returns it with the number
-// of jobs.
-func runPath(tasks, batch int) (*path, float64) {
+// of jobs in each of pathTrials trials. The first trial counts allocations, also
+// those of maps and slices that grow.
+func runPath(tasks, batch int) (*path, int) {
 	p := newPath(operator.MaxServers / 4)
 	jobs := max(1, pathTasks/tasks)
-	p.run(jobs, tasks, batch)
+	p.counted = true
+	p.trial(jobs, tasks, batch)
 	runtime.GC()
-	p.metered, p.codec = true, 0
-	for n := range messages {
-		p.wire[n], p.envelopes[n] = 0, 0
-	}
+	p.counted, p.timed, p.codec = false, true, 0
 	for range pathTrials {
-		if p.run(jobs, tasks, batch) != jobs {
-			panic("a job without an answer")
-		}
+		p.trial(jobs, tasks, batch)
+	}
+	return p, jobs
+}
+
+// trial takes jobs through the path. Each is to be answered.
+func (p *path) trial(jobs, tasks, batch int) {
+	if p.run(jobs, tasks, batch) != jobs {
+		panic("a job without an answer")
 	}
-	return p, float64(pathTrials * jobs)
 }
 
 // wireByTasks measures the bytes of the messages of one job that goes alone.
