--- /dev/null
+++ b/cmd/amaranthwell-slopes/daemon.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Measures one entry instance without jobs at the fleet's size two years on,
+# with stand-ins of the platform, and writes docs/slopes-daemon.toml:
+# processor time and resident memory without a list, with 1,700 workers in the
+# list, with the tables, over 53 further edits, and the peak of a start that
+# reads all 54. Linux only.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+workers=1700
+routes=256
+edits=53
+window=10
+settle=3
+output=docs/slopes-daemon.toml
+log=http://127.0.77.1:7100
+instances=http://127.0.77.1:7200
+dir=bin/slopes-daemon
+mkdir -p "$dir"
+started=()
+trap 'kill "${started[@]}" 2>/dev/null || true' EXIT
+
+address() { echo "10.2.$(($1 / 250)).$(($1 % 250 + 1)):9000"; }
+letters=abcdefghijklmnopqrst
+zone() { echo "hr-north-${letters:$(($1 / 8 % 20)):1}"; }
+
+# routes SHARE and pools print the tables.
+routes() {
+  for n in $(seq -w 0 $((routes - 1))); do
+    printf '[[routes]]\nname = "team-%s-previews"\npool = "editing"\nurgency = 50\nshare = %d\n' "$n" "$1"
+    printf 'idempotent = true\ntimeout = "20s"\ncores = 1.0\nmemory-mib = 512\n'
+  done
+}
+pools() {
+  printf '[[pools]]\nname = "editing"\n'
+  for n in $(seq 0 $((workers - 1))); do
+    printf '[[pools.servers]]\naddress = "%s"\nzone = "%s"\nrack = "rack-%d"\n' "$(address "$n")" "$(zone "$n")" $((n / 8))
+    printf 'slots = 8\nconnections = 64\ncores = 16\nmemory-mib = 65536\n'
+  done
+}
+settings() {
+  printf 'peer-address = "127.0.77.1%d:7000"\ncaller-address = "127.0.77.1%d:8080"\n' "$1" "$1"
+  printf 'operator-address = "127.0.77.1%d:9090"\nzone = "hr-north-a"\nlog = "%s"\ninstances = "%s"\n' "$1" "$log" "$instances"
+}
+entry() {
+  settings "$1" >"$dir/entry-$1.toml"
+  bin/amaranthwell entry --settings "$dir/entry-$1.toml" >"$dir/entry-$1.log" 2>&1 &
+  started+=($!)
+}
+list() {
+  local n
+  for n in $(seq 0 $((workers - 1))); do
+    printf 'next\nurl = "%s/v1/instances/%s"\nrequest = "PUT"\n' "$instances" "$(address "$n")"
+    printf 'data = "{\\"kind\\":\\"backend\\",\\"zone\\":\\"%s\\"}"\nsilent\n' "$(zone "$n")"
+  done | tail -n +2 | curl -K - >/dev/null
+}
+publish() {
+  routes "$1" >"$dir/routes.toml"
+  bin/amaranthwell publish --log "$log" --author workshop "$dir/routes.toml" "$dir/pools.toml" >>"$dir/publish.log"
+}
+
+# milliseconds PID prints the processor time that a process has used.
+milliseconds() { awk -v hertz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000 / hertz}' "/proc/$1/stat"; }
+kilobytes() { awk -v key="$2:" '$1 == key {print $2}' "/proc/$1/status"; }
+
+# reading NAME PID prints what a process spends in a window.
+reading() {
+  sleep "$settle"
+  local before after
+  before=$(milliseconds "$2")
+  sleep "$window"
+  after=$(milliseconds "$2")
+  printf '\n[%s]\nprocessor-ms-per-s = %s\nresident-kb = %s\n' "$1" \
+    "$(awk -v a="$after" -v b="$before" -v w="$window" 'BEGIN {print (a - b) / w}')" "$(kilobytes "$2" VmRSS)"
+}
+
+pools >"$dir/pools.toml"
+bin/amaranthwell-standin log --address 127.0.77.1:7100 >"$dir/log.log" 2>&1 &
+started+=($!)
+bin/amaranthwell-standin instances --address 127.0.77.1:7200 >"$dir/instances.log" 2>&1 &
+started+=($!)
+sleep 1
+entry 1
+first=${started[-1]}
+{
+  printf 'command = "make slopes-daemon"\nworkers = %d\nroutes = %d\n' "$workers" "$routes"
+  reading empty "$first"
+  list
+  reading list "$first"
+  publish 50
+  reading tables "$first"
+  before=$(milliseconds "$first")
+  begin=$SECONDS
+  for n in $(seq "$edits"); do publish $((50 + n)); done
+  sleep 1
+  printf '\n[edits]\nnumber = %d\nprocessor-ms = %s\nseconds = %d\n' "$edits" \
+    "$(awk -v a="$(milliseconds "$first")" -v b="$before" 'BEGIN {print a - b}')" $((SECONDS - begin))
+  entry 2
+  second=${started[-1]}
+  sleep 6
+  printf '\n[start]\nrecords = %d\nprocessor-ms = %s\npeak-resident-kb = %s\n' $((edits + 1)) \
+    "$(milliseconds "$second")" "$(kilobytes "$second" VmHWM)"
+} >"$dir/output.toml"
+mv "$dir/output.toml" "$output"
+cat "$output"
--- a/slopes.mk
+++ b/slopes.mk
@@ -1,8 +1,14 @@
-# make slopes   measures how state, messages and processor time grow with the
-#               sizes (under 3 minutes) and writes docs/slopes.toml, which
-#               docs/CAPACITY.md quotes.
+# make slopes         measures how state, messages and processor time grow with
+#                     the sizes (under 3 minutes) and writes docs/slopes.toml.
+# make slopes-daemon  measures one entry instance without jobs (under 3 minutes)
+#                     and writes docs/slopes-daemon.toml.
+#
+# docs/CAPACITY.md quotes both files.
 
-.PHONY: slopes
+.PHONY: slopes slopes-daemon
 
 slopes: build
 	bin/amaranthwell-slopes --output docs/slopes.toml
+
+slopes-daemon: build
+	cmd/amaranthwell-slopes/daemon.sh
