--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -71,8 +71,10 @@
 	defer stop()
 	from := newInbox()
 	link := peer.NewLink(addr, from)
+	sent := uint64(1)
+	link.Send(&peer.Envelope{Sequence: sent})
+	is.Equal((<-to.envelopes).Sequence, sent)
 	large := make([]byte, 64<<10)
-	sent := uint64(0)
 	for link.Dropped() == 0 {
 		sent++
 		link.Send(&peer.Envelope{Sequence: sent, Configuration: large})
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -152,3 +152,15 @@
 	}
 	is.Equal(len(held), 3)
 }
+
+func TestAnEndedIncarnationBeginsNoSession(t *testing.T) {
+	is := is.New(t)
+	a := newMembers(self, 1)
+	former := &peer.Envelope{Incarnation: 10, Session: 1, Sequence: 1, Zone: "b"}
+	next := &peer.Envelope{Incarnation: 20, Session: 2, Sequence: 1, Zone: "b"}
+	woken := &peer.Envelope{Incarnation: 10, Session: 3, Sequence: 1, Zone: "b"}
+	is.True(a.Hear(start, second, former).Fresh)
+	is.True(a.Hear(start, second, next).Fresh)
+	is.True(!a.Hear(start, second, woken).Fresh)
+	is.Equal(a.Incarnation(second), uint64(20))
+}
