--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -184,7 +184,14 @@
 	next := &peer.Envelope{Incarnation: 20, Session: 2, Sequence: 1, Zone: "b"}
 	woken := &peer.Envelope{Incarnation: 10, Session: 3, Sequence: 1, Zone: "b"}
 	is.True(a.Hear(start, second, former).Fresh)
+	is.True(!a.Hear(start, second, next).Fresh)
+	challenge := &peer.Envelope{}
+	a.Stamp(start, second, challenge)
+	next.Echo = challenge.Challenge
 	is.True(a.Hear(start, second, next).Fresh)
 	is.True(!a.Hear(start, second, woken).Fresh)
+	a.Stamp(start, second, challenge)
+	woken.Sequence, woken.Echo = 2, challenge.Challenge
+	is.True(!a.Hear(start, second, woken).Fresh)
 	is.Equal(a.Incarnation(second), uint64(20))
 }
