Revert "peer: keep a job's tasks at few holders among equals"

Cause of the try: an entry instance that is killed fails every job that has a task with it, 19.6 % of the jobs of an 8 s window around the kill, since each job's tasks are drawn over all holders. Change tried: among holders with equally fast idle slots, the one that the job used last went first.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -115,7 +115,7 @@
 	if p == nil {
 		return false
 	}
-	addr, ok := p.spread.Pick(j.route.Name, j.last, i.members.Live)
+	addr, ok := p.spread.Pick(j.route.Name, i.members.Live)
 	if !ok {
 		return false
 	}
@@ -137,7 +137,6 @@
 	t.state = taskGiven
 	t.attempt++
 	t.holder = addr
-	j.last = addr
 	j.given++
 	j.holders[addr] = true
 	if addr == i.cfg.Self {
--- a/entry/job.go
+++ b/entry/job.go
@@ -49,8 +49,6 @@
 	done  int
 	// holders holds the holders that were ever given a task of the job.
 	holders map[netip.AddrPort]bool
-	// last is the holder that was last given a task of the job.
-	last netip.AddrPort
 	// notBefore is when a returned task may be given out again.
 	notBefore time.Time
 	// queued says that the job is in its route's queue, at the place at, with
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -152,11 +152,9 @@
 }
 
 // Pick returns the holder that the next task of route is to be given to, of
-// those that usable admits. It returns false if none has room. Among equals it
-// returns the one at last, if that is one of them: a job whose tasks are at few
-// holders takes fewer messages, and fewer instances' ends can fail it.
-func (s *Spread) Pick(route string, last netip.AddrPort, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
-	if v := s.pickIdle(route, last, usable); v != nil {
+// those that usable admits. It returns false if none has room.
+func (s *Spread) Pick(route string, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	if v := s.pickIdle(route, usable); v != nil {
 		return v.address, true
 	}
 	if v := s.pickQueue(route, usable); v != nil {
@@ -165,10 +163,9 @@
 	return netip.AddrPort{}, false
 }
 
-// pickIdle returns the holder at last if its idle slots are about the fastest
-// for route, or else draws one of those of which this is true, each slot with
-// the same chance.
-func (s *Spread) pickIdle(route string, last netip.AddrPort, usable func(netip.AddrPort) bool) *holderView {
+// pickIdle draws one of the holders whose idle slots are about the fastest for
+// route, each slot with the same chance.
+func (s *Spread) pickIdle(route string, usable func(netip.AddrPort) bool) *holderView {
 	s.candidates = s.candidates[:0]
 	least := math.Inf(1)
 	// A holder that knows nothing yet is tried as if it were the best.
@@ -189,11 +186,6 @@
 		least = min(least, c.seconds)
 		s.candidates = append(s.candidates, c)
 	}
-	for _, c := range s.candidates {
-		if c.holder.address == last && c.seconds <= least*sameSpeed {
-			return c.holder
-		}
-	}
 	return s.drawCandidate(least * sameSpeed)
 }
 
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -18,7 +18,7 @@
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
 	s.Report(self, &peer.PoolLoad{Slots: 8}, 0)
 	s.Report(second, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 0)
-	holder, ok := s.Pick("previews", netip.AddrPort{}, anyHolder)
+	holder, ok := s.Pick("previews", anyHolder)
 	fmt.Println(holder, ok)
 	// Output: 127.0.2.2:7000 true
 }
@@ -30,7 +30,7 @@
 	s.Report(second, &peer.PoolLoad{Slots: 40, Idle: []*peer.Idle{{Free: 5, Slowness: 1}}}, 0)
 	count := make(map[netip.AddrPort]int)
 	for {
-		holder, ok := s.Pick("previews", netip.AddrPort{}, anyHolder)
+		holder, ok := s.Pick("previews", anyHolder)
 		if !ok {
 			break
 		}
@@ -50,10 +50,10 @@
 	s.Report(second, &peer.PoolLoad{Slots: 8}, 0)
 	s.Given(self, "previews", 5)
 	s.Report(self, &peer.PoolLoad{Slots: 1, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 4) // made before 5 arrived
-	holder, _ := s.Pick("previews", netip.AddrPort{}, anyHolder)
+	holder, _ := s.Pick("previews", anyHolder)
 	is.Equal(holder, second)
 	s.Report(self, &peer.PoolLoad{Slots: 1, Idle: []*peer.Idle{{Free: 1, Slowness: 1}}}, 5)
-	holder, _ = s.Pick("previews", netip.AddrPort{}, anyHolder)
+	holder, _ = s.Pick("previews", anyHolder)
 	is.Equal(holder, self)
 }
 
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
 	s.Report(self, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 8, Slowness: 1}}}, 0)
-	_, ok := s.Pick("previews", netip.AddrPort{}, func(netip.AddrPort) bool { return false })
+	_, ok := s.Pick("previews", func(netip.AddrPort) bool { return false })
 	is.True(!ok)
 }
 
@@ -78,7 +78,7 @@
 	s.Report(second, load(300*time.Millisecond, &peer.Idle{Free: 2, Slowness: 0.5}), 0)
 	var order []netip.AddrPort
 	for range 6 {
-		holder, ok := s.Pick("previews", netip.AddrPort{}, anyHolder)
+		holder, ok := s.Pick("previews", anyHolder)
 		is.True(ok)
 		s.Given(holder, "previews", 1)
 		order = append(order, holder)
@@ -95,23 +95,6 @@
 		Idle:   []*peer.Idle{{Free: 8, Slowness: 4}},
 		Routes: []*peer.RouteLoad{{Route: "previews", Queued: 12}},
 	}, 0)
-	_, ok := s.Pick("previews", netip.AddrPort{}, anyHolder)
+	_, ok := s.Pick("previews", anyHolder)
 	is.True(!ok)
 }
-
-func TestSpreadKeepsToTheLastHolderAmongEquals(t *testing.T) {
-	is := is.New(t)
-	s := peer.NewSpread(peer.SpreadConfig{Random: rand.New(rand.NewPCG(1, 1))})
-	for _, holder := range []netip.AddrPort{self, second, third} {
-		s.Report(holder, &peer.PoolLoad{Slots: 8, Idle: []*peer.Idle{{Free: 4, Slowness: 1}}}, 0)
-	}
-	for range 4 {
-		holder, ok := s.Pick("previews", second, anyHolder)
-		is.True(ok)
-		is.Equal(holder, second)
-		s.Given(holder, "previews", 1)
-	}
-	holder, ok := s.Pick("previews", second, anyHolder)
-	is.True(ok)
-	is.True(holder != second) // its idle slots are taken
-}
