entry: bound the jobs that an instance owns; wait for an owner as long as the route does

Cause: max-waiting-jobs was checked and had no effect; a job without a timeout waited 2 minutes at the relay for an owner that had ended. Change: the setting bounds the open owned jobs; the relay waits for the route's timeout and a grace of 2 s.

--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -134,6 +134,7 @@
 		Incarnation: random.Uint64() | 1,
 		Start:       time.Now(),
 		Secret:      secret,
+		MaxJobs:     settings.MaxWaitingJobs,
 		Random:      random,
 	})
 }
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -35,7 +35,7 @@
 		timeout = route.Timeout
 	}
 	wait := i.expectedWait(route, len(in.Tasks))
-	if wait > time.Duration(queueTimeShare*float64(timeout)) || i.waitingTasks() > i.cfg.MaxWaiting {
+	if wait > time.Duration(queueTimeShare*float64(timeout)) || i.full() {
 		i.counts.Overloaded++
 		i.refuse(now, in.Key, caller.Answer{
 			Reason:     caller.ReasonOverload,
@@ -119,6 +119,11 @@
 	return slots / typical / float64(i.livePeers()+1)
 }
 
+// full reports whether the instance owns as much as it may.
+func (i *Instance) full() bool {
+	return len(i.jobs) >= i.cfg.MaxJobs || i.waitingTasks() > i.cfg.MaxWaiting
+}
+
 // waitingTasks returns the number of owned tasks that no holder has.
 func (i *Instance) waitingTasks() int {
 	total := 0
--- a/entry/config.go
+++ b/entry/config.go
@@ -32,6 +32,8 @@
 	// MaxWaiting is the largest number of tasks that wait at the instance
 	// as their owner.
 	MaxWaiting int
+	// MaxJobs is the largest number of open jobs that the instance owns.
+	MaxJobs int
 	// Random draws holders, servers and retry times.
 	Random *rand.Rand
 }
@@ -42,6 +44,7 @@
 	DefaultKeepFor    = 5 * time.Minute
 	DefaultHoldDown   = 2 * time.Second
 	DefaultMaxWaiting = 200_000
+	DefaultMaxJobs    = 10_000
 
 	defaultMaxRecords     = 200_000
 	defaultMaxAnswerBytes = 16 << 20
@@ -70,4 +73,7 @@
 	if c.MaxWaiting == 0 {
 		c.MaxWaiting = DefaultMaxWaiting
 	}
+	if c.MaxJobs == 0 {
+		c.MaxJobs = DefaultMaxJobs
+	}
 }
--- a/entry/instance_test.go
+++ b/entry/instance_test.go
@@ -175,3 +175,18 @@
 	is.Equal(w.answers[second][0].Status, caller.Unknown)
 	is.Equal(w.answers[second][0].Reason, caller.ReasonMismatch)
 }
+
+func TestAnInstanceOwnsABoundedNumberOfJobs(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, 1, 1)
+	w.run(settle)
+	var ids []entry.CallerID
+	for range entry.DefaultMaxJobs + 1 {
+		ids = append(ids, w.submit(instanceAddress(0), caller.Job{Route: "previews", Tasks: payloads(1)}))
+	}
+	last := ids[len(ids)-1]
+	is.Equal(len(w.answers[ids[0]]), 0)
+	is.Equal(len(w.answers[last]), 1)
+	is.Equal(w.answers[last][0].Status, caller.NotRun)
+	is.Equal(w.answers[last][0].Reason, caller.ReasonOverload)
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -22,7 +22,8 @@
 // relayGrace is the time beyond a job's timeout that its owner has to answer.
 const relayGrace = 2 * time.Second
 
-// defaultRelayTimeout bounds the wait for a job that names no timeout.
+// defaultRelayTimeout bounds the wait for a job that names no timeout and whose
+// route is not known here.
 const defaultRelayTimeout = 2 * time.Minute
 
 // IssueKey returns a new submission key for a caller, or false if the instance is leaving.
@@ -57,16 +58,25 @@
 		i.answerCaller(id, caller.Answer{Key: job.Key, Status: caller.Unknown, Reason: reason})
 		return
 	}
-	timeout := job.Timeout
-	if timeout == 0 {
-		timeout = defaultRelayTimeout
-	}
 	i.requests++
-	r := &relay{request: i.requests, job: job, caller: id, deadline: now.Add(timeout + relayGrace)}
+	r := &relay{request: i.requests, job: job, caller: id, deadline: now.Add(i.relayTimeout(job) + relayGrace)}
 	i.relays[r.request] = r
 	i.sendSubmit(now, r)
 }
 
+// relayTimeout returns the time that a job's owner has for the job.
+func (i *Instance) relayTimeout(job caller.Job) time.Duration {
+	if job.Timeout > 0 {
+		return job.Timeout
+	}
+	if i.tables != nil {
+		if route, ok := i.tables.Route(job.Route); ok {
+			return route.Timeout
+		}
+	}
+	return defaultRelayTimeout
+}
+
 // unreachable says why a key's owner cannot be asked, if it cannot.
 func (i *Instance) unreachable(key caller.Key) (caller.Reason, bool) {
 	if i.members.Ended(key.Owner, key.Incarnation) {
