--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,113 +18,6 @@
 	"github.com/matryer/is"
 )
 
-// A reply answers one submission of a scriptedEntry.
-type reply func(w http.ResponseWriter, job receivedJob)
-
-// A receivedJob is a job as it came over HTTP.
-type receivedJob struct {
-	Key     string   `json:"key"`
-	Timeout string   `json:"timeout"`
-	Tasks   [][]byte `json:"tasks"`
-}
-
-// A scriptedEntry is an entry that issues keys and answers jobs by a script,
-// whose last reply it repeats.
-type scriptedEntry struct {
-	mu      sync.Mutex
-	keys    *caller.Keys
-	script  []reply
-	jobs    []receivedJob
-	fetches int
-	// useWithin is the time for which the keys may be used.
-	useWithin string
-}
-
-func (e *scriptedEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.URL.Path == "/v1/keys" {
-		e.fetches++
-		keys := []caller.Key{e.keys.Issue(keysStart), e.keys.Issue(keysStart), e.keys.Issue(keysStart)}
-		_ = json.NewEncoder(w).Encode(map[string]any{"keys": keys, "use-within": e.useWithin})
-		return
-	}
-	var job receivedJob
-	_ = json.NewDecoder(r.Body).Decode(&job)
-	e.jobs = append(e.jobs, job)
-	next := e.script[0]
-	if len(e.script) > 1 {
-		e.script = e.script[1:]
-	}
-	next(w, job)
-}
-
-// answer replies with a status, a reason, and the tasks as results.
-func answer(status caller.Status, reason caller.Reason) reply {
-	return func(w http.ResponseWriter, job receivedJob) {
-		body := map[string]any{"key": job.Key, "status": status, "reason": reason}
-		if status == caller.Complete {
-			body["results"] = job.Tasks
-		}
-		_ = json.NewEncoder(w).Encode(body)
-	}
-}
-
-// raw replies with a code and a body, in which %s stands for the key.
-func raw(code int, body string) reply {
-	return func(w http.ResponseWriter, job receivedJob) {
-		w.WriteHeader(code)
-		_, _ = fmt.Fprintf(w, body, job.Key)
-	}
-}
-
-// lose breaks the connection without a reply.
-func lose(http.ResponseWriter, receivedJob) {
-	panic(http.ErrAbortHandler)
-}
-
-// cut breaks the connection in the middle of a complete answer.
-func cut(w http.ResponseWriter, job receivedJob) {
-	w.Header().Set("Content-Length", "1000")
-	_, _ = fmt.Fprintf(w, `{"key":%q,"status":"complete","results":[""]}`, job.Key)
-	panic(http.ErrAbortHandler)
-}
-
-var complete = answer(caller.Complete, "")
-
-// startEntry runs an entry with a script until the test ends.
-func startEntry(t *testing.T, script ...reply) (*scriptedEntry, *caller.Client) {
-	t.Helper()
-	entry := &scriptedEntry{keys: newKeys(t, "127.0.0.1:7000", 1), script: script, useWithin: "1h"}
-	server := httptest.NewServer(entry)
-	t.Cleanup(server.Close)
-	return entry, newClient(t, 0, server)
-}
-
-func newClient(t *testing.T, attemptTimeout time.Duration, servers ...*httptest.Server) *caller.Client {
-	t.Helper()
-	var entries []*url.URL
-	for _, server := range servers {
-		entry, err := url.Parse(server.URL)
-		if err != nil {
-			t.Fatal(err)
-		}
-		entries = append(entries, entry)
-	}
-	client, err := caller.NewClient(caller.ClientConfig{
-		Entries:        entries,
-		Random:         rand.New(rand.NewPCG(1, 2)),
-		KeyBatch:       10,
-		AttemptTimeout: attemptTimeout,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return client
-}
-
-var previews = caller.Job{Route: "previews", Tasks: [][]byte{[]byte("a"), {}}}
-
 func ExampleClient() {
 	echo := func(_ context.Context, job caller.Job) (caller.Answer, error) {
 		return caller.Answer{Key: job.Key, Status: caller.Complete, Results: job.Tasks}, nil
