--- a/entry/admission.go
+++ b/entry/admission.go
@@ -16,10 +16,10 @@
 	// caller is asked to come again.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
-	// drainWindow is the time over which a queue's rate is averaged.
-	drainWindow = 2 * time.Second
-	// drainKnown is the time of waiting tasks after which the rate is known.
-	drainKnown = time.Second
+	// completionWindow is the time over which a queue's rate is averaged.
+	completionWindow = 2 * time.Second
+	// completionKnown is the time of waiting tasks after which the rate is known.
+	completionKnown = time.Second
 )
 
 // admit begins a new submission or refuses it. No task of it has left the
@@ -89,7 +89,7 @@
 	if q == nil || q.waiting == 0 {
 		return 0
 	}
-	rate, known := q.drain.perSecond()
+	rate, known := q.completions.perSecond()
 	if !known {
 		rate = max(rate, i.guaranteedRate(route))
 	}
@@ -140,9 +140,9 @@
 	return base + time.Duration(i.cfg.Random.Int64N(int64(base)))
 }
 
-// A drain measures how fast a route's tasks end while others of it wait. Only
+// Completions measure how fast a route's tasks end while others of it wait. Only
 // tasks that ran count: a queue also shrinks because its tasks are given up.
-type drain struct {
+type completions struct {
 	last    time.Time
 	backlog bool
 	recent  int
@@ -151,26 +151,26 @@
 }
 
 // ran counts a task that has run.
-func (d *drain) ran() { d.recent++ }
+func (c *completions) ran() { c.recent++ }
 
 // observe takes what has happened until now into the rate. Backlog says that
 // tasks still wait.
-func (d *drain) observe(now time.Time, backlog bool) {
-	if d.backlog {
-		dt := now.Sub(d.last).Seconds()
-		keep := max(0, 1-dt/drainWindow.Seconds())
-		d.ended = d.ended*keep + float64(d.recent)
-		d.elapsed = d.elapsed*keep + dt
-	}
-	d.recent = 0
-	d.last, d.backlog = now, backlog
+func (c *completions) observe(now time.Time, backlog bool) {
+	if c.backlog {
+		dt := now.Sub(c.last).Seconds()
+		keep := max(0, 1-dt/completionWindow.Seconds())
+		c.ended = c.ended*keep + float64(c.recent)
+		c.elapsed = c.elapsed*keep + dt
+	}
+	c.recent = 0
+	c.last, c.backlog = now, backlog
 }
 
 // perSecond returns the rate in tasks a second, and whether it rests on enough
 // to go by it alone.
-func (d *drain) perSecond() (rate float64, known bool) {
-	if d.elapsed == 0 {
+func (c *completions) perSecond() (rate float64, known bool) {
+	if c.elapsed == 0 {
 		return 0, false
 	}
-	return d.ended / d.elapsed, d.elapsed >= drainKnown.Seconds()
+	return c.ended / c.elapsed, c.elapsed >= completionKnown.Seconds()
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -18,8 +18,8 @@
 	urgency int
 	jobs    jobHeap
 	// waiting is the number of the jobs' tasks that no holder has.
-	waiting int
-	drain   drain
+	waiting     int
+	completions completions
 }
 
 // enqueue puts a job into its route's queue.
@@ -105,7 +105,7 @@
 	for _, j := range paused {
 		heap.Push(&q.jobs, j)
 	}
-	q.drain.observe(now, len(q.jobs) > 0)
+	q.completions.observe(now, len(q.jobs) > 0)
 }
 
 // giveNext gives out the next task of the job that is due first. It returns
--- a/entry/job.go
+++ b/entry/job.go
@@ -132,7 +132,7 @@
 func (i *Instance) settleTask(now time.Time, j *job, index int, outcome peer.Outcome, body []byte) {
 	t := &j.tasks[index]
 	if outcome == peer.Outcome_OUTCOME_DONE || outcome == peer.Outcome_OUTCOME_FAILED {
-		i.queue(j.route).drain.ran()
+		i.queue(j.route).completions.ran()
 	}
 	switch outcome {
 	case peer.Outcome_OUTCOME_DONE:
