--- a/cmd/amaranthwell/control.go
+++ b/cmd/amaranthwell/control.go
@@ -16,7 +16,7 @@
 
 // Times and sizes of the control loop.
 const (
-	tickEvery = 5 * time.Millisecond
+	tickEvery = 20 * time.Millisecond
 	// maxEvents is the number of events that are taken before what they
 	// call for is done.
 	maxEvents = 512
