--- a/cmd/amaranthwell-standin/main.go
+++ b/cmd/amaranthwell-standin/main.go
@@ -21,6 +21,7 @@
 	mustAdd(parser, "log", "Run the append-only log.", &logCommand{ctx: ctx})
 	mustAdd(parser, "instances", "Run the list of instances.", &instancesCommand{ctx: ctx})
 	mustAdd(parser, "worker", "Run a worker with backend servers.", &workerCommand{ctx: ctx})
+	mustAdd(parser, "request", "Make one HTTP request and print the answer.", &requestCommand{ctx: ctx})
 	if _, err := parser.Parse(); err != nil {
 		exit(err)
 	}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -64,7 +64,7 @@
 # await URL waits until the URL answers with status 200.
 await() {
   local deadline=$((SECONDS + ready_seconds))
-  until curl -fs -m 2 -o "$dir/await" "$1"; do
+  until bin/amaranthwell-standin request "$1" >"$dir/await" 2>&1; do
     if [ $SECONDS -ge $deadline ]; then
       echo "no answer from $1" >&2
       return 1
@@ -118,8 +118,9 @@
   settings "$n" >"$dir/entry-$n.toml"
   start "entry-$n" bin/amaranthwell entry --settings "$dir/entry-$n.toml"
   daemons+=($!)
-  curl -fs -X PUT "$instances/v1/instances/127.0.2.$n:7000" \
-    -d "{\"kind\":\"entry\",\"zone\":\"$(zone "$n")\"}"
+  bin/amaranthwell-standin request --method PUT \
+    --body "{\"kind\":\"entry\",\"zone\":\"$(zone "$n")\"}" \
+    "$instances/v1/instances/127.0.2.$n:7000"
 done
 bin/amaranthwell publish --log "$log" --author demo demo/routes.toml demo/pools.toml
 for n in $(seq $entries); do await "http://127.0.2.$n:9090/ready"; done
@@ -144,6 +145,6 @@
   if wait "${submitters[$i]}"; then complete=$((complete + 1)); else failed=$((failed + 1)); fi
   tail -n 1 "$dir/job-$i.log"
 done
-curl -fs "$control/v1/starts" && echo
+bin/amaranthwell-standin request "$control/v1/starts" && echo
 echo "jobs: $complete complete, $failed failed"
 [ "$failed" -eq 0 ]
