entry: follow a route's new urgency; drop a field that nothing read

Cause: the order in which an owner gives out its queues kept the urgency that a route had when its queue was made. What a route gets is decided by the holders, which did follow it, so that only the order of envelopes was stale; no test sees it from outside.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -63,16 +63,21 @@
 		q = &queue{route: route.Name, urgency: route.Urgency}
 		i.queues[route.Name] = q
 		i.order = append(i.order, route.Name)
-		slices.SortFunc(i.order, func(a, b string) int {
-			if c := cmp.Compare(i.queues[b].urgency, i.queues[a].urgency); c != 0 {
-				return c
-			}
-			return cmp.Compare(a, b)
-		})
+		i.sortQueues()
 	}
 	return q
 }
 
+// sortQueues brings the order of the queues up to date.
+func (i *Instance) sortQueues() {
+	slices.SortFunc(i.order, func(a, b string) int {
+		if c := cmp.Compare(i.queues[b].urgency, i.queues[a].urgency); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+}
+
 // dispatch gives waiting tasks to holders that have room, the most urgent route
 // first. What each route gets is the holders' to decide.
 func (i *Instance) dispatch(now time.Time) {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -21,6 +21,8 @@
 	keys    *caller.Keys
 	book    *caller.Book[waiter]
 
+	// tables is the configuration in force, or nil, at an offset of the log,
+	// and snapshot its form for peers that are behind.
 	tables   *operator.Tables
 	offset   uint64
 	snapshot []byte
@@ -49,8 +51,8 @@
 	leaving  bool
 	// issued is when the last key was issued.
 	issued time.Time
+	// listed is the platform's list as last seen.
 	listed platform.List
-	ticked time.Time
 	counts Counts
 	// changes holds the states that operators were last told of.
 	changes changes
@@ -162,7 +164,6 @@
 	i.expireHeld(now)
 	i.returnStranded(now)
 	i.noteChanges(now)
-	i.ticked = now
 }
 
 // Take decides on all that can be started or given out at now, and returns what
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -51,6 +51,12 @@
 			i.pools[name].servers = nil
 		}
 	}
+	for _, r := range i.tables.Routes {
+		if q := i.queues[r.Name]; q != nil {
+			q.urgency = r.Urgency
+		}
+	}
+	i.sortQueues()
 	i.assigned = 0
 	i.assign(now)
 	i.markLeaving(now)
