entry: gather cancellations for 10 ms

Each cancellation went to the owner, and from there to each holder of the job, in an envelope of its own. Ruled out: heartbeats (0.000 to 0.002 without waves). Change: cancellations and the ends of jobs with tasks given wait for 10 ms, so that those of a wave share envelopes.

--- a/entry/job.go
+++ b/entry/job.go
@@ -263,8 +263,8 @@
 		}
 		i.settle(addr, j.key)
 		if unfinished {
-			// The tasks that wait there are to free their places at once.
-			i.outbox(addr).urgent = true
+			// The tasks that wait there are to free their places soon.
+			i.outbox(addr).hurry(now)
 		}
 	}
 }
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -14,6 +14,9 @@
 	env *peer.Envelope
 	// urgent says that the envelope is not to wait for the next heartbeat.
 	urgent bool
+	// due is when the envelope goes at the latest, or zero if only the next
+	// heartbeat bounds it.
+	due time.Time
 	// settled holds the keys that the peer may forget, until it has
 	// acknowledged the envelope that said so.
 	settled []settledKey
@@ -29,6 +32,17 @@
 	sequence uint64
 }
 
+// cancelPause is the time for which cancellations are gathered: they come in
+// waves.
+const cancelPause = 10 * time.Millisecond
+
+// hurry has the envelope go within cancelPause.
+func (box *outbox) hurry(now time.Time) {
+	if box.due.IsZero() {
+		box.due = now.Add(cancelPause)
+	}
+}
+
 // outbox returns the outbox for the peer at addr.
 func (i *Instance) outbox(addr netip.AddrPort) *outbox {
 	box := i.outboxes[addr]
@@ -78,7 +92,7 @@
 	}
 	addrs := make([]netip.AddrPort, 0, len(i.outboxes))
 	for addr, box := range i.outboxes {
-		if box.urgent {
+		if box.urgent || (!box.due.IsZero() && !now.Before(box.due)) {
 			addrs = append(addrs, addr)
 		}
 	}
@@ -92,7 +106,7 @@
 func (i *Instance) send(now time.Time, addr netip.AddrPort) {
 	box := i.outboxes[addr]
 	env := box.env
-	box.env, box.urgent = &peer.Envelope{}, false
+	box.env, box.urgent, box.due = &peer.Envelope{}, false, time.Time{}
 	i.members.Stamp(now, addr, env)
 	if len(env.Answers)+len(env.Results) > 0 {
 		box.owed = env.Sequence
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -108,7 +108,7 @@
 	}
 	box := i.outbox(key.Owner)
 	box.env.Cancels = append(box.env.Cancels, &peer.Cancel{Key: keyBytes(key)})
-	box.urgent = true
+	box.hurry(now)
 }
 
 // relayed passes an owner's answer on to the caller that waits for it.
