--- a/peer/members.go
+++ b/peer/members.go
@@ -282,7 +282,8 @@
 	var due []netip.AddrPort
 	for _, addr := range m.Addresses() {
 		p := m.peers[addr]
-		if now.Sub(p.sentAt) >= m.cfg.HeartbeatEvery || p.challenge != p.challenged {
+		challenge := p.challenge != 0 && p.challenge != p.challenged
+		if now.Sub(p.sentAt) >= m.cfg.HeartbeatEvery || challenge {
 			due = append(due, addr)
 		}
 	}
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -115,6 +115,7 @@
 	is.True(h.Restarted)
 	// What a sent before it forgot b is of an ended session.
 	is.True(!b.Hear(later, self, late).Fresh)
+	is.Equal(len(b.HeartbeatsDue(later)), 0) // nor is it worth a challenge
 }
 
 func TestAListedPeerIsNotForgotten(t *testing.T) {
