--- a/cmd/amaranthwell-slopes/fleet.go
+++ b/cmd/amaranthwell-slopes/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/amaranthwell/amaranthwell/entry"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // Sizes of the fleet two years on.
@@ -96,11 +96,11 @@
 	return i
 }
 
-func newList(peers int, zoneOf func(int) string) platform.List {
-	var l platform.List
+func newList(peers int, zoneOf func(int) string) logservice.List {
+	var l logservice.List
 	for n := range peers {
-		l.Instances = append(l.Instances, platform.Instance{
-			Address: instanceAddress(n), Kind: platform.EntryInstance, Zone: zoneOf(n),
+		l.Instances = append(l.Instances, logservice.Instance{
+			Address: instanceAddress(n), Kind: logservice.EntryInstance, Zone: zoneOf(n),
 		})
 	}
 	return l
--- a/cmd/amaranthwell-slopes/traffic.go
+++ b/cmd/amaranthwell-slopes/traffic.go
@@ -14,7 +14,7 @@
 
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
@@ -25,14 +25,14 @@
 // listByInstances measures one reading of the platform's list over loopback.
 func listByInstances() []slope {
 	wire := slope{Name: "list-bytes-by-instances", What: "body of the platform's list of entry instances and backend servers", Unit: "bytes", By: "instance"}
-	spent := slope{Name: "list-time-by-instances", What: "platform.ListClient.List, with the stand-in that answers, over loopback", Unit: "ns", By: "instance"}
+	spent := slope{Name: "list-time-by-instances", What: "logservice.ListClient.List, with the stand-in that answers, over loopback", Unit: "ns", By: "instance"}
 	for _, n := range workerSizes {
 		instances := standin.NewInstances(standin.InstancesConfig{})
 		for at := range n {
-			instances.Put(standin.Instance{Address: serverAddress(at), Kind: string(platform.BackendServer), Zone: zoneName(at)})
+			instances.Put(standin.Instance{Address: serverAddress(at), Kind: string(logservice.BackendServer), Zone: zoneName(at)})
 		}
 		server := httptest.NewServer(instances)
-		client, err := platform.NewListClient(platform.ListConfig{URL: server.URL})
+		client, err := logservice.NewListClient(logservice.ListConfig{URL: server.URL})
 		if err != nil {
 			panic(err)
 		}
--- a/cmd/amaranthwell/configuration.go
+++ b/cmd/amaranthwell/configuration.go
@@ -11,7 +11,7 @@
 
 	"github.com/amaranthwell/amaranthwell/entry"
 	"github.com/amaranthwell/amaranthwell/operator"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // Times of following the configuration.
@@ -28,7 +28,7 @@
 // A follower reads the configuration's stream of the log, puts what is accepted
 // in force, and appends snapshots of it before the records expire.
 type follower struct {
-	log       *platform.LogClient
+	log       *logservice.LogClient
 	logger    log.Logger
 	retention time.Duration
 	snapshots *gochannel.GoChannel
@@ -67,10 +67,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	page := operator.Page{First: 1}
-	if gap, ok := platform.GapOf(msg); ok {
+	if gap, ok := logservice.GapOf(msg); ok {
 		page.First, page.Next = gap.To+1, gap.To+1
 	} else {
-		offset := platform.OffsetOf(msg)
+		offset := logservice.OffsetOf(msg)
 		page.Next = offset + 1
 		page.Records = []operator.Record{{Offset: offset, Body: msg.Payload}}
 	}
--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -25,7 +25,7 @@
 	"github.com/amaranthwell/amaranthwell/entry"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // Times of the daemon.
@@ -77,7 +77,7 @@
 	instance *entry.Instance
 	control  *control
 	follower *follower
-	list     *platform.ListClient
+	list     *logservice.ListClient
 	backends *backend.Client
 	current  atomic.Pointer[operator.Current]
 	ready    atomic.Bool
@@ -90,7 +90,7 @@
 	if d.instance, err = newInstance(settings); err != nil {
 		return nil, err
 	}
-	if d.list, err = platform.NewListClient(platform.ListConfig{URL: settings.Instances.String()}); err != nil {
+	if d.list, err = logservice.NewListClient(logservice.ListConfig{URL: settings.Instances.String()}); err != nil {
 		return nil, err
 	}
 	if d.backends, err = backend.NewClient(backend.ClientConfig{}); err != nil {
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	d.current.Store(&operator.Current{})
-	client, err := platform.NewLogClient(platform.LogConfig{URL: settings.Log.String(), Logger: logger})
+	client, err := logservice.NewLogClient(logservice.LogConfig{URL: settings.Log.String(), Logger: logger})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/amaranthwell/log.go
+++ b/cmd/amaranthwell/log.go
@@ -2,10 +2,10 @@
 
 import (
 	"github.com/amaranthwell/amaranthwell/operator"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // newLog returns the log at url, or an error if url is not one.
 func newLog(url string) (operator.Log, error) {
-	return platform.NewLogClient(platform.LogConfig{URL: url})
+	return logservice.NewLogClient(logservice.LogConfig{URL: url})
 }
--- /dev/null
+++ b/cmd/amaranthwell/loop.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+	"github.com/amaranthwell/amaranthwell/peer"
+	"github.com/amaranthwell/amaranthwell/platform"
+)
+
+// loopTick is the time between looks at what depends on the time.
+const loopTick = 20 * time.Millisecond
+
+// bootTime returns a time that goes on while the process or the machine stands
+// still, and that no step of the time of day moves.
+func bootTime() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock exists on every Linux that Go supports.
+		panic(err)
+	}
+	return time.Unix(ts.Unix())
+}
+
+// loopConfig configures a loop.
+type loopConfig struct {
+	Node    platform.Node
+	Logger  log.Logger
+	Workers *platform.Workers
+	// Tables takes the configurations that peers send.
+	Tables  func([]byte)
+	Metrics *metrics.Set
+}
+
+// A step changes the control state at a time.
+type step func(now time.Time, i *dispatch.Instance)
+
+// A loop runs a dispatch.Instance: one goroutine owns the instance, takes
+// events in order and hands out what is to be done.
+type loop struct {
+	cfg    loopConfig
+	events chan step
+	orders *orders
+	// led and leading say whether a leader of the zone is known, and whether
+	// it is this instance.
+	led, leading atomic.Bool
+	lead         chan struct{}
+
+	mu      sync.Mutex
+	callers map[dispatch.CallerID]chan dispatch.End
+	nextID  dispatch.CallerID
+	open    sync.Map
+	links   map[netip.AddrPort]*peer.Link
+	stopped chan struct{}
+	ends    map[dispatch.State]*metrics.Counter
+}
+
+// newLoop returns a loop whose goroutine runs until ctx ends.
+func newLoop(ctx context.Context, cfg loopConfig) *loop {
+	l := &loop{
+		cfg:     cfg,
+		events:  make(chan step, eventCapacity),
+		lead:    make(chan struct{}, 1),
+		callers: make(map[dispatch.CallerID]chan dispatch.End),
+		links:   make(map[netip.AddrPort]*peer.Link),
+		stopped: make(chan struct{}),
+		ends:    make(map[dispatch.State]*metrics.Counter),
+	}
+	l.orders = newOrders(cfg.Workers, l.do)
+	for _, state := range []dispatch.State{dispatch.Completed, dispatch.Failed, dispatch.NotRun, dispatch.Overdue} {
+		l.ends[state] = cfg.Metrics.NewCounter(`amaranthwell_jobs_ended_total{state="` + state.String() + `"}`)
+	}
+	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
+		Self:  cfg.Node.Peers,
+		Zone:  cfg.Node.Zone,
+		Zones: cfg.Node.Zones,
+		Wall:  time.Now(),
+	})
+	go func() {
+		defer close(l.stopped)
+		ticker := time.NewTicker(loopTick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				instance.Tick(bootTime())
+			case s := <-l.events:
+				now := bootTime()
+				s(now, instance)
+				l.takeMore(now, instance)
+			}
+			now := bootTime()
+			l.act(instance.Take(now))
+			l.publish(now, instance)
+		}
+	}()
+	return l
+}
+
+// takeMore takes the events that already wait.
+func (l *loop) takeMore(now time.Time, i *dispatch.Instance) {
+	for range maxEvents {
+		select {
+		case s := <-l.events:
+			s(now, i)
+		default:
+			return
+		}
+	}
+}
+
+// publish makes what other goroutines read of the instance known.
+func (l *loop) publish(now time.Time, i *dispatch.Instance) {
+	l.led.Store(i.Led(now))
+	if i.Leading() == l.leading.Load() {
+		return
+	}
+	l.leading.Store(i.Leading())
+	select {
+	case l.lead <- struct{}{}:
+	default:
+	}
+}
+
+// do hands an event to the control goroutine.
+func (l *loop) do(s step) {
+	select {
+	case l.events <- s:
+	case <-l.stopped:
+	}
+}
+
+// ask hands an event to the control goroutine and waits until it was taken. It
+// reports whether it was.
+func (l *loop) ask(s step) bool {
+	done := make(chan struct{})
+	l.do(func(now time.Time, i *dispatch.Instance) {
+		s(now, i)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
+// act does what the instance wants done.
+func (l *loop) act(effects dispatch.Effects) {
+	for _, start := range effects.Starts {
+		l.orders.start(start)
+	}
+	for _, look := range effects.Looks {
+		l.orders.look(look)
+	}
+	for _, stop := range effects.Stops {
+		l.orders.stop(stop)
+	}
+	for _, e := range effects.Ends {
+		l.answer(e)
+	}
+	for _, send := range effects.Sends {
+		l.link(send.To).Send(send.Envelope)
+	}
+	for _, tables := range effects.Tables {
+		go l.cfg.Tables(tables)
+	}
+	for _, d := range effects.Decisions {
+		_ = l.cfg.Logger.Log(append([]any{"event", d.Event, "id", d.Subject}, d.Fields...)...)
+	}
+}
+
+// Run gives a job to the instance and waits for its end.
+func (l *loop) Run(ctx context.Context, job dispatch.Job) (dispatch.End, error) {
+	ends := make(chan dispatch.End, 1)
+	l.mu.Lock()
+	l.nextID++
+	id := l.nextID
+	l.callers[id] = ends
+	l.mu.Unlock()
+	l.open.Store(job.ID, struct{}{})
+	defer l.open.Delete(job.ID)
+	l.do(func(now time.Time, i *dispatch.Instance) { i.Submit(now, id, job) })
+	select {
+	case end := <-ends:
+		l.ends[end.State].Inc()
+		return end, nil
+	case <-ctx.Done():
+		l.forget(id)
+		l.do(func(now time.Time, i *dispatch.Instance) { i.Abandon(now, id) })
+		return dispatch.End{}, ctx.Err()
+	case <-l.stopped:
+		return dispatch.End{ID: job.ID, State: dispatch.Overdue, Reason: "leaving"}, nil
+	}
+}
+
+// Cancel ends a job. It reports whether the job was known.
+func (l *loop) Cancel(id string) bool {
+	known := false
+	l.ask(func(now time.Time, i *dispatch.Instance) { known = i.Cancel(now, id) })
+	return known
+}
+
+// Open reports whether a job is being worked on.
+func (l *loop) Open(id string) bool {
+	_, open := l.open.Load(id)
+	return open
+}
+
+// answer passes an end to the caller that waits for it.
+func (l *loop) answer(e dispatch.CallerEnd) {
+	if ends := l.forget(e.Caller); ends != nil {
+		ends <- e.End
+	}
+}
+
+// forget removes a caller and returns its channel, or nil if it has gone.
+func (l *loop) forget(id dispatch.CallerID) chan dispatch.End {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := l.callers[id]
+	delete(l.callers, id)
+	return ends
+}
+
+// Deliver takes an envelope from a peer.
+func (l *loop) Deliver(env *peer.Envelope) {
+	addr, err := netip.ParseAddrPort(env.From)
+	if err != nil {
+		return
+	}
+	l.do(func(now time.Time, i *dispatch.Instance) { i.Receive(now, addr, env) })
+}
+
+// LinkReset says that envelopes to the peer at addr may have been lost.
+func (l *loop) LinkReset(addr netip.AddrPort) {
+	l.do(func(now time.Time, i *dispatch.Instance) { i.LinkReset(now, addr) })
+}
+
+// link returns the link to the peer at addr. Only the control goroutine calls
+// it.
+func (l *loop) link(addr netip.AddrPort) *peer.Link {
+	link := l.links[addr]
+	if link == nil {
+		link = peer.NewLink(addr, l)
+		l.links[addr] = link
+	}
+	return link
+}
+
+// closeLinks ends the links once what waits in them is sent, or after timeout.
+func (l *loop) closeLinks(timeout time.Duration) {
+	var links []*peer.Link
+	l.ask(func(time.Time, *dispatch.Instance) {
+		for _, link := range l.links {
+			links = append(links, link)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	for _, link := range links {
+		link.Close(ctx)
+	}
+}
--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -21,7 +21,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/operator"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // version is the program's version; the linker may set it.
@@ -97,6 +97,9 @@
 	mustAdd(parser.AddCommand("entry", "Run an entry instance",
 		"Runs an entry instance until SIGTERM, which lets it end what it has begun.",
 		&entryCommand{}))
+	mustAdd(parser.AddCommand("serve", "Run an entry instance on the platform",
+		"Runs an entry instance on the platform, from the platform's settings of the process, until SIGTERM, which lets it answer what it has taken.",
+		&serveCommand{}))
 	mustAdd(parser.AddCommand("submit", "Submit a job",
 		"Submits a job to an entry instance and prints a summary of its answer.",
 		&submitCommand{}))
@@ -138,7 +141,7 @@
 	var check *operator.CheckError
 	var record *operator.RecordError
 	var refused *refusedError
-	var url *platform.ConfigError
+	var url *logservice.ConfigError
 	var request *caller.RequestError
 	var incomplete *incompleteError
 	switch {
--- /dev/null
+++ b/cmd/amaranthwell/serve.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+	"github.com/amaranthwell/amaranthwell/peer"
+	"github.com/amaranthwell/amaranthwell/platform"
+)
+
+const (
+	// readyMisses is the time after which the balancer has noticed that an
+	// instance is not ready.
+	readyMisses = 2500 * time.Millisecond
+	// quietFor is the time without an open job after which a shutdown ends.
+	quietFor = 300 * time.Millisecond
+	// graceMargin is the part of the grace period that is left unused.
+	graceMargin = 700 * time.Millisecond
+	// memoryShare is the share of the memory limit at which the collector
+	// works harder.
+	memoryShare = 0.6
+)
+
+// serveCommand runs an entry instance on the platform.
+type serveCommand struct {
+	NodeFile string `long:"node-file" value-name:"FILE" description:"the platform's settings of the process; the default is what AMARANTHWELL_NODE_FILE names"`
+}
+
+// Execute runs the entry instance until SIGTERM or SIGINT.
+func (c *serveCommand) Execute([]string) error {
+	path := c.NodeFile
+	if path == "" {
+		path = os.Getenv(platform.NodeFileVariable)
+	}
+	if path == "" {
+		return &fileError{err: errors.Newf("neither --node-file nor %s is given", platform.NodeFileVariable)}
+	}
+	node, err := platform.LoadNode(path)
+	if err != nil {
+		return &fileError{err: err}
+	}
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * memoryShare))
+	}
+	lines := newLineWriter(os.Stdout)
+	logger := log.With(log.NewLogfmtLogger(lines), "time", log.DefaultTimestampUTC, "instance", node.Name)
+	s := newService(node, logger)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	return s.run(ctx, hup)
+}
+
+// A service is an entry instance on the platform, with its ports and links.
+type service struct {
+	node    platform.Node
+	logger  log.Logger
+	store   *platform.Store
+	loop    *loop
+	tables  atomic.Pointer[dispatch.Tables]
+	closing atomic.Bool
+	metrics *metrics.Set
+}
+
+func newService(node platform.Node, logger log.Logger) *service {
+	return &service{
+		node:    node,
+		logger:  logger,
+		store:   platform.NewStore(node.Store),
+		metrics: metrics.NewSet(),
+	}
+}
+
+// run serves until ctx ends, and then ends what has begun.
+func (s *service) run(ctx context.Context, hup <-chan os.Signal) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	s.loop = newLoop(serving, loopConfig{
+		Node:    s.node,
+		Logger:  s.logger,
+		Workers: platform.NewWorkers(),
+		Tables:  s.takeTables,
+		Metrics: s.metrics,
+	})
+	group, serving := errgroup.WithContext(serving)
+	if err := s.listen(serving, group); err != nil {
+		return err
+	}
+	s.follow(serving, group)
+	_ = s.logger.Log("event", "started", "zone", s.node.Zone, "peers", s.node.Peers, "callers", s.node.Callers)
+	for {
+		select {
+		case <-hup:
+			_ = s.logger.Log("event", "reloaded", "changed", "nothing: addresses are read at the start only")
+		case <-ctx.Done():
+			s.drain()
+			stop()
+			return nil
+		case <-serving.Done():
+			return group.Wait()
+		}
+	}
+}
+
+// listen opens the ports.
+func (s *service) listen(ctx context.Context, group *errgroup.Group) error {
+	peers, err := net.Listen("tcp", s.node.Peers.String())
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return ended(peer.Listen(ctx, peers, s.loop)) })
+	callers := &http.Server{
+		Handler: platform.NewCallersHandler(platform.CallersConfig{
+			Jobs:    s.loop,
+			Tables:  s.tables.Load,
+			Now:     bootTime,
+			Closing: s.closing.Load,
+		}),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		ReadTimeout:       callerReadTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /readyz", s.ready)
+	scrape := http.NewServeMux()
+	scrape.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	for _, port := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{s.node.Callers.String(), callers},
+		{s.node.Ready.String(), &http.Server{Handler: ready, ReadHeaderTimeout: callerHeaderTimeout}},
+		{s.node.Metrics.String(), &http.Server{Handler: scrape, ReadHeaderTimeout: callerHeaderTimeout}},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return err
+		}
+		serveHTTP(group, port.server, listener)
+	}
+	return nil
+}
+
+// ready answers the balancer's health check.
+func (s *service) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.closing.Load() || s.tables.Load() == nil || !s.loop.led.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// takeTables takes the operators' tables as they lie in the store, unless they
+// are older than those in force.
+func (s *service) takeTables(text []byte) {
+	tables, err := platform.DecodeTables(text)
+	if err != nil {
+		_ = s.logger.Log("event", "configuration-unreadable", "error", err)
+		return
+	}
+	for {
+		current := s.tables.Load()
+		if current != nil && current.Version >= tables.Version {
+			return
+		}
+		if s.tables.CompareAndSwap(current, tables) {
+			break
+		}
+	}
+	s.loop.do(func(now time.Time, i *dispatch.Instance) { i.SetTables(now, tables.Version, text) })
+}
+
+// drain lets others lead, and ends once no caller waits.
+func (s *service) drain() {
+	_ = s.logger.Log("event", "leaving")
+	s.closing.Store(true)
+	start := time.Now()
+	s.loop.ask(func(now time.Time, i *dispatch.Instance) { i.Leave(now) })
+	quiet := start
+	for time.Since(start) < s.node.Grace-graceMargin {
+		time.Sleep(drainPoll)
+		busy := false
+		s.loop.ask(func(_ time.Time, i *dispatch.Instance) { busy = i.OpenJobs() > 0 || i.Leading() })
+		if busy {
+			quiet = time.Now()
+		}
+		if time.Since(start) > readyMisses && time.Since(quiet) > quietFor {
+			break
+		}
+	}
+	s.loop.closeLinks(100 * time.Millisecond)
+	_ = s.logger.Log("event", "ended", "after", time.Since(start))
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,343 @@
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// troubleLimit is the number of failures in a row after which a worker is left
+// out for a time, and then tried with one task at a time.
+const troubleLimit = 2
+
+// dispatcher is the state of an instance that leads availability zones.
+type dispatcher struct {
+	self netip.AddrPort
+	// terms are the zones that are led, and taken when each was taken over.
+	terms map[string]uint64
+	taken map[string]time.Time
+	// workers are those of the worker table, and order the same, sorted.
+	workers map[string]*worker
+	order   []*worker
+	jobs    map[string]*activeJob
+	queue   queue
+	ends    map[string]*keptEnd
+	// foreign finds the runs that no job of this leader has claimed.
+	foreign   map[TaskID]*worker
+	estimates estimates
+	// topSpeed is the speed of a fast worker, and typicalCPU what a task
+	// usually needs, in thousandths of a core.
+	topSpeed   float64
+	typicalCPU float64
+	// heard tells when an instance was last heard.
+	heard   func(netip.AddrPort) time.Time
+	effects *Effects
+	// settled receives the ends of jobs, for their receivers.
+	settle func(now time.Time, to netip.AddrPort, end End)
+	// fenced is told of a zone whose workers have served a later leader.
+	fenced func(now time.Time, zone string)
+	looks  uint64
+}
+
+// keptEnd is the end of a job, kept for receivers that ask again.
+type keptEnd struct {
+	end       End
+	at        time.Time
+	receivers []netip.AddrPort
+}
+
+func newDispatcher(self netip.AddrPort) *dispatcher {
+	return &dispatcher{
+		self:      self,
+		terms:     make(map[string]uint64),
+		taken:     make(map[string]time.Time),
+		workers:   make(map[string]*worker),
+		jobs:      make(map[string]*activeJob),
+		ends:      make(map[string]*keptEnd),
+		foreign:   make(map[TaskID]*worker),
+		estimates: make(estimates),
+		topSpeed:  1,
+	}
+}
+
+// leading reports whether any zone is led.
+func (d *dispatcher) leading() bool { return len(d.terms) > 0 }
+
+// decide logs a decision.
+func (d *dispatcher) decide(event, subject string, fields ...any) {
+	d.effects.Decisions = append(d.effects.Decisions, Decision{Event: event, Subject: subject, Fields: fields})
+}
+
+// setTerm takes zone over with term.
+func (d *dispatcher) setTerm(now time.Time, zone string, term uint64) {
+	d.terms[zone] = term
+	d.taken[zone] = now
+	for _, w := range d.order {
+		if w.Zone == zone {
+			w.seen = false
+			w.lookSent = time.Time{}
+			w.nextLook = now
+		}
+	}
+	d.decide("zone-led", zone, "term", term)
+}
+
+// dropTerm gives zone up.
+func (d *dispatcher) dropTerm(now time.Time, zone string) {
+	delete(d.terms, zone)
+	d.decide("zone-given-up", zone)
+	if !d.leading() {
+		d.reset()
+		return
+	}
+	for _, w := range d.order {
+		if w.Zone != zone {
+			continue
+		}
+		w.seen = false
+		w.lookSent = time.Time{}
+		// The next leader may keep what runs there for a while.
+		w.leaseEnd = max(w.leaseEnd, w.clockLow(now)+grace+leaseTime)
+	}
+}
+
+// reset forgets all jobs and runs: nothing may be ordered any more.
+func (d *dispatcher) reset() {
+	d.jobs = make(map[string]*activeJob)
+	d.queue = queue{}
+	d.ends = make(map[string]*keptEnd)
+	d.foreign = make(map[TaskID]*worker)
+	for i, w := range d.order {
+		fresh := newWorker(w.Worker)
+		fresh.speed = w.speed
+		d.order[i] = fresh
+		d.workers[w.ID] = fresh
+	}
+}
+
+// setWorker takes in an entry of the worker table.
+func (d *dispatcher) setWorker(now time.Time, entry Worker) {
+	w := d.workers[entry.ID]
+	if w == nil {
+		w = newWorker(entry)
+		d.workers[entry.ID] = w
+		i, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+		d.order = slices.Insert(d.order, i, w)
+		return
+	}
+	reborn := w.Born != entry.Born || w.Address != entry.Address
+	w.Worker = entry
+	w.missing = time.Time{}
+	if reborn {
+		w.nextLook = now
+	}
+}
+
+// missWorker notes that a worker has vanished from the table.
+func (d *dispatcher) missWorker(now time.Time, id string) {
+	if w := d.workers[id]; w != nil && w.missing.IsZero() {
+		w.missing = now
+	}
+}
+
+// forgetWorker drops a worker that has been missing for long, once nothing can
+// run there any more.
+func (d *dispatcher) forgetWorker(now time.Time, w *worker) {
+	if w.missing.IsZero() || now.Sub(w.missing) < missingFor {
+		return
+	}
+	if len(w.runs) > 0 {
+		return
+	}
+	delete(d.workers, w.ID)
+	if i := slices.Index(d.order, w); i >= 0 {
+		d.order = slices.Delete(d.order, i, i+1)
+	}
+}
+
+// allSeen reports whether every worker is led and has answered, so that no run
+// of an earlier leader is unknown.
+func (d *dispatcher) allSeen() bool {
+	for _, w := range d.order {
+		if _, led := d.terms[w.Zone]; !led || !w.seen {
+			return false
+		}
+	}
+	return len(d.order) > 0
+}
+
+// give takes a job from the instance that received it.
+func (d *dispatcher) give(now time.Time, from netip.AddrPort, job Job) {
+	if kept := d.ends[job.ID]; kept != nil {
+		kept.receivers = append(kept.receivers, from)
+		d.settle(now, from, kept.end)
+		return
+	}
+	j := d.jobs[job.ID]
+	if j == nil {
+		if len(d.jobs) >= maxJobs {
+			d.settle(now, from, End{ID: job.ID, State: NotRun, Reason: "too-many-jobs", RetryAfter: retryAfter})
+			return
+		}
+		j = d.begin(now, job)
+	}
+	j.receivers[from] = struct{}{}
+	j.Patience = later(j.Patience, job.Patience)
+	if !j.suspendedAt.IsZero() {
+		j.suspendedAt, j.askedAt = time.Time{}, time.Time{}
+		d.decide("job-resumed", j.ID, "receiver", from)
+	}
+	if len(j.waiting) > 0 {
+		d.queue.add(j)
+	}
+}
+
+// later returns the later of a and b.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// begin makes job active.
+func (d *dispatcher) begin(now time.Time, job Job) *activeJob {
+	j := newActiveJob(job)
+	d.jobs[job.ID] = j
+	var longest time.Duration
+	for _, step := range job.Steps {
+		expected := d.estimates.expect(job.Route, step.Estimate)
+		longest += expected
+		cores := float64(step.Needs.Millicores) / 1000
+		j.work += expected.Seconds() * cores * float64(step.Tasks)
+		if d.typicalCPU == 0 {
+			d.typicalCPU = float64(step.Needs.Millicores)
+		}
+		d.typicalCPU += estimateWeight * (float64(step.Needs.Millicores) - d.typicalCPU)
+	}
+	j.chain = longest
+	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(longest)) + job.Slack - overhead)
+	if len(d.foreign) > 0 || job.Round > 0 {
+		d.claimRuns(now, j)
+	}
+	return j
+}
+
+// claimRuns finds the runs and ends of j's tasks that an earlier leader ordered.
+func (d *dispatcher) claimRuns(now time.Time, j *activeJob) {
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if w := d.foreign[t.id]; w != nil {
+				d.adopt(now, w, t)
+			}
+		}
+	}
+	for _, w := range d.order {
+		for _, f := range w.unclaimed {
+			if f.Task.Job == j.ID && f.How == EndedDone {
+				d.taskDone(now, j, f.Task)
+			}
+		}
+	}
+}
+
+// adopt gives the run of t on w to t, or stops it if t has another.
+func (d *dispatcher) adopt(now time.Time, w *worker, t *task) {
+	delete(d.foreign, t.id)
+	r := w.runs[t.id]
+	if r == nil || r.state == runStopping {
+		return
+	}
+	if t.state != taskWaiting {
+		d.stop(now, w, r)
+		return
+	}
+	w.adopt(r, t)
+	t.job.place(t)
+	t.number = max(t.number, r.number)
+	d.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
+}
+
+// taskDone notes the end of a task, and of its job if it was the last one.
+func (d *dispatcher) taskDone(now time.Time, j *activeJob, id TaskID) {
+	if id.Step >= len(j.steps) || id.Index >= len(j.steps[id.Step]) {
+		return
+	}
+	if j.finish(j.steps[id.Step][id.Index]) {
+		d.end(now, j, End{ID: j.ID, State: Completed})
+		return
+	}
+	if len(j.waiting) > 0 {
+		d.queue.add(j)
+	}
+}
+
+// end settles a job: its receivers are told, and what still runs is stopped.
+func (d *dispatcher) end(now time.Time, j *activeJob, end End) {
+	if d.jobs[j.ID] != j {
+		return
+	}
+	d.drop(now, j)
+	kept := &keptEnd{end: end, at: now}
+	for addr := range j.receivers {
+		kept.receivers = append(kept.receivers, addr)
+	}
+	slices.SortFunc(kept.receivers, netip.AddrPort.Compare)
+	d.ends[j.ID] = kept
+	for _, addr := range kept.receivers {
+		d.settle(now, addr, end)
+	}
+	if end.State != Completed {
+		d.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
+			"expected", j.chain, "queued", len(d.queue.jobs), "left", j.allLeft, "placed", j.placed)
+	}
+}
+
+// drop forgets a job and stops what runs for it.
+func (d *dispatcher) drop(now time.Time, j *activeJob) {
+	delete(d.jobs, j.ID)
+	j.queued = false
+	d.stopRuns(now, j, false)
+}
+
+// stopRuns stops the runs of j. Their tasks wait again once the runs have
+// ended if keep is set.
+func (d *dispatcher) stopRuns(now time.Time, j *activeJob, keep bool) {
+	if j.placed == 0 {
+		return
+	}
+	for _, w := range d.order {
+		for _, r := range w.sorted() {
+			if r.task == nil || r.task.job != j {
+				continue
+			}
+			if !keep {
+				r.task = nil
+			}
+			d.stop(now, w, r)
+		}
+	}
+}
+
+// withdraw notes that the caller behind from has left.
+func (d *dispatcher) withdraw(now time.Time, from netip.AddrPort, id string) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(j.receivers, from)
+	if len(j.receivers) == 0 {
+		d.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
+		d.drop(now, j)
+	}
+}
+
+// resend tells a receiver again how its jobs have ended.
+func (d *dispatcher) resend(now time.Time, to netip.AddrPort) {
+	for _, kept := range d.ends {
+		if slices.Contains(kept.receivers, to) {
+			d.settle(now, to, kept.end)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/exchange.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// maxEntries bounds the entries of the worker table in one envelope.
+const maxEntries = 200
+
+// Receive takes an envelope from a peer.
+func (i *Instance) Receive(now time.Time, from netip.AddrPort, env *peer.Envelope) {
+	i.advance(now)
+	if env.Beat != nil {
+		i.receiveBeat(now, from, env)
+	}
+	for _, w := range env.Workers {
+		i.receiveWorker(now, from, w)
+	}
+	if len(env.OperatorTables) > 0 {
+		i.effects.Tables = append(i.effects.Tables, env.OperatorTables)
+	}
+	if i.dispatcher.leading() {
+		for _, j := range env.Jobs {
+			i.dispatcher.give(now, from, decodeJob(now, j))
+		}
+		for _, id := range env.Withdrawn {
+			i.dispatcher.withdraw(now, from, id)
+		}
+	}
+	for _, e := range env.JobEnds {
+		i.receiver.settled(now, from, decodeEnd(e))
+	}
+}
+
+// LinkReset says that envelopes to the peer at addr may have been lost.
+func (i *Instance) LinkReset(now time.Time, addr netip.AddrPort) {
+	i.advance(now)
+	i.receiver.linkReset(now, addr)
+	if i.dispatcher.leading() {
+		i.dispatcher.resend(now, addr)
+	}
+}
+
+// receiveBeat takes a peer's view, and answers with what the peer lacks.
+func (i *Instance) receiveBeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
+	p := i.peer(from)
+	p.version = env.Beat.Version
+	if env.Beat.WorkersRevision < p.revision || env.Beat.Reply {
+		p.revision = env.Beat.WorkersRevision
+	}
+	reply := i.leadership.Receive(now, from, env.Zone, env.Leaving, env.Beat)
+	i.followTerms(now)
+	if reply != nil {
+		i.sendBeat(now, from, reply)
+	}
+	i.shareTables(now, from, p)
+}
+
+func (i *Instance) peer(addr netip.AddrPort) *peerState {
+	p := i.peers[addr]
+	if p == nil {
+		p = &peerState{}
+		i.peers[addr] = p
+	}
+	return p
+}
+
+// shareTables sends the configuration to a peer that stays behind.
+func (i *Instance) shareTables(now time.Time, to netip.AddrPort, p *peerState) {
+	switch {
+	case p.version >= i.version:
+		p.behindSince = time.Time{}
+	case p.behindSince.IsZero():
+		p.behindSince = now
+	case now.Sub(p.behindSince) >= tablesAfter:
+		p.behindSince = now
+		i.envelope(to).OperatorTables = i.tables
+	}
+}
+
+// broadcast sends a beat to all known instances.
+func (i *Instance) broadcast(now time.Time, beat *peer.Beat) {
+	for _, addr := range i.leadership.Members() {
+		i.sendBeat(now, addr, &peer.Beat{
+			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Reply: beat.Reply,
+		})
+	}
+}
+
+// sendBeat sends a beat, with the changes of the worker table if this instance
+// leads.
+func (i *Instance) sendBeat(now time.Time, to netip.AddrPort, beat *peer.Beat) {
+	beat.Version = i.version
+	env := i.envelope(to)
+	env.Beat = beat
+	if !i.leadership.Leading() {
+		beat.WorkersRevision = i.peer(to).given
+		return
+	}
+	p := i.peer(to)
+	for _, e := range i.table.since(p.revision) {
+		if len(env.Workers) >= maxEntries {
+			break
+		}
+		env.Workers = append(env.Workers, encodeWorker(e))
+		p.revision = e.revision
+	}
+}
+
+// receiveWorker takes an entry of a leader's worker table.
+func (i *Instance) receiveWorker(now time.Time, from netip.AddrPort, w *peer.Worker) {
+	p := i.peer(from)
+	p.given = max(p.given, w.Revision)
+	if i.leadership.Leading() {
+		return
+	}
+	if w.Gone {
+		i.RemoveWorker(now, w.Id)
+		return
+	}
+	if entry, ok := decodeWorker(w); ok {
+		i.SetWorker(now, entry)
+	}
+}
+
+// envelope returns the envelope that is being filled for addr.
+func (i *Instance) envelope(addr netip.AddrPort) *peer.Envelope {
+	env := i.outbox[addr]
+	if env == nil {
+		env = &peer.Envelope{From: i.cfg.Self.String(), Zone: i.cfg.Zone, Leaving: i.leaving}
+		i.outbox[addr] = env
+	}
+	return env
+}
--- /dev/null
+++ b/dispatch/receiver.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// receiver keeps the jobs whose callers wait at this instance, and gives each
+// to the leader of the zone.
+type receiver struct {
+	instance *Instance
+	open     map[string]*openJob
+	callers  map[CallerID]string
+	// leader is the claim under which jobs are given away, or zero.
+	leader peer.Claim
+	// lostAt is when the leader before was last heard.
+	lostAt time.Time
+	// without is since when there is no leader, or zero.
+	without time.Time
+}
+
+// openJob is a job that has no end yet.
+type openJob struct {
+	job     Job
+	callers []CallerID
+	// given says that the present leader has the job.
+	given bool
+	// begun says that the job was given to any leader.
+	begun bool
+}
+
+func newReceiver(i *Instance) *receiver {
+	return &receiver{
+		instance: i,
+		open:     make(map[string]*openJob),
+		callers:  make(map[CallerID]string),
+	}
+}
+
+// submit takes a job from a caller.
+func (r *receiver) submit(now time.Time, caller CallerID, job Job) {
+	o := r.open[job.ID]
+	if o == nil {
+		if reason := r.refusal(now); reason != "" {
+			r.answer(caller, End{ID: job.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter})
+			r.instance.decide("job-not-run", job.ID, "route", job.Route, "reason", reason)
+			return
+		}
+		o = &openJob{job: job}
+		r.open[job.ID] = o
+	}
+	o.job.Patience = later(o.job.Patience, job.Patience)
+	o.callers = append(o.callers, caller)
+	r.callers[caller] = job.ID
+	o.given = false
+	r.give(now, o)
+}
+
+// refusal returns why no new job is taken, or nothing.
+func (r *receiver) refusal(now time.Time) string {
+	switch {
+	case len(r.open) >= maxJobs:
+		return "too-many-jobs"
+	case !r.without.IsZero() && now.Sub(r.without) > noLeaderFor:
+		return "no-leader"
+	default:
+		return ""
+	}
+}
+
+// give hands a job to the leader, if there is one.
+func (r *receiver) give(now time.Time, o *openJob) {
+	if o.given || !r.leader.Leader.IsValid() || !r.without.IsZero() {
+		return
+	}
+	o.given, o.begun = true, true
+	i := r.instance
+	if r.leader.Leader == i.cfg.Self {
+		i.dispatcher.give(now, i.cfg.Self, o.job)
+		return
+	}
+	env := i.envelope(r.leader.Leader)
+	env.Jobs = append(env.Jobs, encodeJob(now, o.job))
+}
+
+// follow gives all jobs to a new leader.
+func (r *receiver) follow(now time.Time) {
+	i := r.instance
+	claim, fresh := i.leadership.Claim(now, i.cfg.Zone)
+	if !fresh || !claim.Leader.IsValid() {
+		if r.without.IsZero() {
+			r.without = now
+			r.lostAt = claim.Heard
+			i.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", now.Sub(claim.Heard))
+		}
+		if claim.Term != r.leader.Term {
+			r.leader = peer.Claim{}
+		}
+		return
+	}
+	r.without = time.Time{}
+	if claim.Leader == r.leader.Leader && claim.Term == r.leader.Term {
+		return
+	}
+	former := r.leader.Leader
+	r.leader = claim
+	i.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
+	settled := later(r.lostAt, now).Add(settleTime)
+	if !r.lostAt.IsZero() {
+		settled = r.lostAt.Add(settleTime)
+	}
+	r.lostAt = time.Time{}
+	for _, id := range r.ids() {
+		o := r.open[id]
+		if o.begun {
+			r.takeBack(former, id)
+			o.job.Round++
+			o.job.Settled = settled
+		}
+		o.given = false
+		r.give(now, o)
+	}
+}
+
+// takeBack tells a former leader that another one has the job now.
+func (r *receiver) takeBack(former netip.AddrPort, id string) {
+	if !former.IsValid() || former == r.instance.cfg.Self || former == r.leader.Leader {
+		return
+	}
+	env := r.instance.envelope(former)
+	env.Withdrawn = append(env.Withdrawn, id)
+}
+
+// ids returns the IDs of the open jobs, in order.
+func (r *receiver) ids() []string {
+	ids := make([]string, 0, len(r.open))
+	for id := range r.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// linkReset gives the jobs again that a link to the leader may have lost.
+func (r *receiver) linkReset(now time.Time, addr netip.AddrPort) {
+	if r.leader.Leader != addr {
+		return
+	}
+	for _, id := range r.ids() {
+		r.open[id].given = false
+		r.give(now, r.open[id])
+	}
+}
+
+// settled answers the callers of a job that has ended, or gives the job again.
+func (r *receiver) settled(now time.Time, from netip.AddrPort, end End) {
+	o := r.open[end.ID]
+	if o == nil {
+		return
+	}
+	if end.State == GiveAgain {
+		if from == r.leader.Leader {
+			o.given = false
+			r.give(now, o)
+		}
+		return
+	}
+	delete(r.open, end.ID)
+	for _, caller := range o.callers {
+		delete(r.callers, caller)
+		r.answer(caller, end)
+	}
+}
+
+func (r *receiver) answer(caller CallerID, end End) {
+	r.instance.effects.Ends = append(r.instance.effects.Ends, CallerEnd{Caller: caller, End: end})
+}
+
+// abandon notes that a caller has left.
+func (r *receiver) abandon(now time.Time, caller CallerID) {
+	id, ok := r.callers[caller]
+	if !ok {
+		return
+	}
+	delete(r.callers, caller)
+	o := r.open[id]
+	o.callers = slices.DeleteFunc(o.callers, func(c CallerID) bool { return c == caller })
+	if len(o.callers) == 0 {
+		r.withdraw(now, id)
+	}
+}
+
+// cancel ends a job at its caller's wish.
+func (r *receiver) cancel(now time.Time, id string) bool {
+	o := r.open[id]
+	if o == nil {
+		return false
+	}
+	for _, caller := range o.callers {
+		delete(r.callers, caller)
+		r.answer(caller, End{ID: id, State: Failed, Reason: "cancelled"})
+	}
+	r.withdraw(now, id)
+	return true
+}
+
+// withdraw forgets a job that nobody waits for, here and at the leader.
+func (r *receiver) withdraw(now time.Time, id string) {
+	o := r.open[id]
+	delete(r.open, id)
+	i := r.instance
+	switch {
+	case !o.given:
+	case r.leader.Leader == i.cfg.Self:
+		i.dispatcher.withdraw(now, i.cfg.Self, id)
+	default:
+		env := i.envelope(r.leader.Leader)
+		env.Withdrawn = append(env.Withdrawn, id)
+	}
+}
+
+// tick ends the jobs whose callers' time has run out.
+func (r *receiver) tick(now time.Time) {
+	for _, id := range r.ids() {
+		o := r.open[id]
+		if now.Before(o.job.Patience) {
+			continue
+		}
+		end := End{ID: id, State: Overdue, Reason: "time-out"}
+		if !o.begun {
+			end = End{ID: id, State: NotRun, Reason: "no-leader", RetryAfter: retryAfter}
+		}
+		r.instance.decide("job-"+end.State.String(), id, "route", o.job.Route, "reason", end.Reason, "age", now.Sub(o.job.Arrived))
+		for _, caller := range o.callers {
+			delete(r.callers, caller)
+			r.answer(caller, end)
+		}
+		r.withdraw(now, id)
+	}
+}
--- /dev/null
+++ b/dispatch/runs.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import "time"
+
+// order returns what each order to w carries at now, with a lease if lease is
+// set.
+func (d *dispatcher) orderTo(now time.Time, w *worker, lease bool) Order {
+	o := Order{Worker: w.ID, Address: w.Address, Term: d.terms[w.Zone], Decided: now}
+	if lease && !w.clockAt.IsZero() {
+		o.Lease = w.lease(now)
+		w.extend(o.Lease)
+	}
+	return o
+}
+
+// start orders w to run t.
+func (d *dispatcher) start(now time.Time, w *worker, t *task) {
+	t.job.place(t)
+	t.number++
+	w.add(&run{
+		id:      t.id,
+		number:  t.number,
+		task:    t,
+		needs:   t.job.Steps[t.id.Step].Needs,
+		since:   now,
+		movedAt: now,
+	})
+	d.effects.Starts = append(d.effects.Starts, Start{
+		Order:  d.orderTo(now, w, true),
+		Task:   t.id,
+		Number: t.number,
+		Spec:   t.job.Spec,
+	})
+}
+
+// stop orders w to end a run. The run takes room until its end is listed.
+func (d *dispatcher) stop(now time.Time, w *worker, r *run) {
+	r.state = runStopping
+	r.stopSent = now
+	r.stopped = 0
+	d.effects.Stops = append(d.effects.Stops, Stop{Order: d.orderTo(now, w, false), Task: r.id, Number: r.number})
+}
+
+// ended takes in the end of a run.
+func (d *dispatcher) ended(now time.Time, w *worker, r *run, how How) {
+	w.remove(r)
+	delete(d.foreign, r.id)
+	t := r.task
+	if t == nil {
+		return
+	}
+	j := t.job
+	switch how {
+	case EndedDone:
+		d.learn(now, w, r)
+		w.trouble = 0
+		d.taskDone(now, j, t.id)
+	case EndedFailed:
+		d.failed(now, w, t)
+	default:
+		j.requeue(t)
+		d.queue.add(j)
+	}
+}
+
+// failed takes in the failure of a run of t on w.
+func (d *dispatcher) failed(now time.Time, w *worker, t *task) {
+	j := t.job
+	if t.failures == 0 {
+		d.blame(now, w, "task-failed")
+	}
+	t.failures++
+	t.avoid = w.ID
+	d.decide("run-failed", j.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", t.number, "failures", t.failures)
+	if t.failures >= j.MaxAttempts {
+		d.end(now, j, End{ID: j.ID, State: Failed, Reason: "attempts"})
+		return
+	}
+	j.requeue(t)
+	d.queue.add(j)
+}
+
+// blame leaves a worker out for a time after failures in a row.
+func (d *dispatcher) blame(now time.Time, w *worker, why string) {
+	w.trouble++
+	if w.trouble < troubleLimit {
+		return
+	}
+	pause := min(refusedPause<<min(w.trouble+2, 10), 2*maxRefusedPause)
+	w.notBefore = now.Add(pause)
+	d.decide("worker-left-out", w.ID, "why", why, "failures", w.trouble, "for", pause)
+}
+
+// learn takes in the run time of a run that has ended well.
+func (d *dispatcher) learn(now time.Time, w *worker, r *run) {
+	if r.adopted {
+		return
+	}
+	j := r.task.job
+	step := j.Steps[r.id.Step]
+	taken := now.Sub(r.since)
+	atSpeedOne := time.Duration(float64(taken) * w.speed)
+	expected, weight := d.estimates.expect(j.Route, step.Estimate), firstSpeedWeight
+	if j.done > 0 {
+		expected, weight = j.taken/time.Duration(j.done), speedWeight
+	}
+	w.learnSpeed(expected, taken, weight)
+	j.taken += atSpeedOne
+	j.done++
+	d.estimates.learn(j.Route, step.Estimate, atSpeedOne)
+}
+
+// StartDone takes in a worker's answer to a Start.
+func (d *dispatcher) startDone(now time.Time, s Start, outcome Outcome, clock time.Duration) {
+	w := d.workers[s.Worker]
+	if w == nil || d.terms[w.Zone] != s.Term {
+		return
+	}
+	r := w.runs[s.Task]
+	if r == nil || r.number != s.Number {
+		return
+	}
+	r.clock = max(r.clock, clock)
+	switch outcome {
+	case Accepted:
+		if r.state == runSent {
+			r.state = runStarted
+		}
+	case Unclear:
+		d.decide("start-unclear", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+		if r.state == runSent {
+			r.state = runUnclear
+			d.peek(now, w)
+		}
+	case Fenced:
+		d.fenced(now, w.Zone)
+	default:
+		d.refused(now, w, r, outcome)
+	}
+}
+
+// refused takes in that a worker has not started a run, and never will.
+func (d *dispatcher) refused(now time.Time, w *worker, r *run, outcome Outcome) {
+	d.decide("start-refused", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", outcome)
+	switch outcome {
+	case Refused:
+		d.blame(now, w, "start-refused")
+		w.notBefore = later(w.notBefore, now.Add(refusedPause))
+	case NoRoom, TooLate:
+		w.notBefore = later(w.notBefore, now.Add(refusedPause))
+		d.peek(now, w)
+	case OldNumber:
+		if r.task != nil {
+			r.task.number += runsPerRound / 4
+		}
+	}
+	d.ended(now, w, r, EndedOther)
+}
+
+// stopDone takes in a worker's answer to a Stop.
+func (d *dispatcher) stopDone(now time.Time, s Stop, outcome Outcome, clock time.Duration) {
+	w := d.workers[s.Worker]
+	if w == nil || d.terms[w.Zone] != s.Term {
+		return
+	}
+	r := w.runs[s.Task]
+	if r == nil || r.number != s.Number || r.state != runStopping {
+		return
+	}
+	switch outcome {
+	case Accepted:
+		r.stopped = clock
+		d.peek(now, w)
+	case Fenced:
+		d.fenced(now, w.Zone)
+	}
+}
--- /dev/null
+++ b/dispatch/tables.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A Route is a row of the operators' table of routes.
+type Route struct {
+	Name string
+	// Host and Prefix select the requests that the route is for.
+	Host, Prefix string
+	// Pool names the workers that run its tasks.
+	Pool string
+	// Urgency is the route's rank; 0 comes first.
+	Urgency int
+	// MaxAttempts is the number of failed runs after which a task has failed.
+	MaxAttempts int
+	// Timeout is how long a caller may wait who says nothing else.
+	Timeout time.Duration
+	// Stretch and Slack make the objective of its jobs.
+	Stretch float64
+	Slack   time.Duration
+	// Advised says that each step needs a policy service's word for its
+	// workers.
+	Advised bool
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Tables are the operators' tables in force, in one version.
+type Tables struct {
+	Version uint64
+	Limits  Limits
+	// byHost holds the routes of each host, those of the longest prefix first.
+	byHost map[string][]Route
+}
+
+// NewTables returns the tables of version with the given routes.
+func NewTables(version uint64, routes []Route, limits Limits) *Tables {
+	t := &Tables{Version: version, Limits: limits, byHost: make(map[string][]Route)}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route of a request for path at host, and whether there is
+// one.
+func (t *Tables) Match(host, path string) (Route, bool) {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -7,7 +7,7 @@
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // An Instance is the control state of one entry instance.
@@ -52,7 +52,7 @@
 	// issued is when the last key was issued.
 	issued time.Time
 	// listed is the platform's list as last seen.
-	listed platform.List
+	listed logservice.List
 	counts Counts
 	// changes holds the states that operators were last told of.
 	changes changes
@@ -104,7 +104,7 @@
 }
 
 // SetList takes the platform's list as seen at now.
-func (i *Instance) SetList(now time.Time, list platform.List) {
+func (i *Instance) SetList(now time.Time, list logservice.List) {
 	i.listed = list
 	i.members.SetList(now, list)
 	i.markLeaving(now)
--- a/entry/matrix_scenarios_test.go
+++ b/entry/matrix_scenarios_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // A scenario is what happens in a cell but for the faults.
@@ -169,5 +169,5 @@
 		return
 	}
 	c.drain(addr)
-	c.after(time.Second, func() { c.changeList(addr, platform.EntryInstance, true) })
+	c.after(time.Second, func() { c.changeList(addr, logservice.EntryInstance, true) })
 }
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -8,7 +8,7 @@
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // foreignFor is the time for which a former holder's word counts on the tasks
@@ -249,7 +249,7 @@
 // gives as leaving.
 func (i *Instance) markLeaving(now time.Time) {
 	for _, listed := range i.listed.Instances {
-		if listed.Kind != platform.BackendServer {
+		if listed.Kind != logservice.BackendServer {
 			continue
 		}
 		for _, name := range sorted(i.pools) {
--- a/entry/world_tables_test.go
+++ b/entry/world_tables_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/operator"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 func instanceAddress(n int) netip.AddrPort {
@@ -36,11 +36,11 @@
 }
 
 // newWorldList returns the platform's list with every entry instance live.
-func newWorldList(instances int) platform.List {
-	var list platform.List
+func newWorldList(instances int) logservice.List {
+	var list logservice.List
 	for n := range instances {
-		list.Instances = append(list.Instances, platform.Instance{
-			Address: instanceAddress(n), Kind: platform.EntryInstance, Zone: zoneOf(n),
+		list.Instances = append(list.Instances, logservice.Instance{
+			Address: instanceAddress(n), Kind: logservice.EntryInstance, Zone: zoneOf(n),
 		})
 	}
 	return list
--- a/platform/backoff.go
+++ b/logservice/backoff.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"math/rand/v2"
--- a/platform/errors.go
+++ b/logservice/errors.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import "fmt"
 
@@ -53,15 +53,3 @@
 func (e *UnknownError) Unwrap() error {
 	return e.Err
 }
-
-// A StatusError reports an HTTP status other than 200.
-type StatusError struct {
-	Status int
-	// Message is the beginning of the answer's body.
-	Message string
-}
-
-// Error gives the status and the message.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %d: %s", e.Status, e.Message)
-}
--- a/platform/http.go
+++ b/logservice/http.go
@@ -1,8 +1,6 @@
-package platform
+package logservice
 
 import (
-	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,10 +20,6 @@
 	idleTimeout = 30 * time.Second
 	// idleConnections is the number of unused connections that are kept.
 	idleConnections = 16
-	// maxMessageBytes is the part of an error's body that is kept, in bytes.
-	maxMessageBytes = 256
-	// maxAnswerBytes is the largest size of an answer in bytes.
-	maxAnswerBytes = 256 << 20
 )
 
 // newTransport returns a transport that uses no proxy.
@@ -51,22 +45,3 @@
 	}
 	return strings.TrimSuffix(base, "/"), nil
 }
-
-// do sends req and decodes the answer into v. It returns a *StatusError if the
-// status is not 200.
-func do(client *http.Client, req *http.Request, v any) error {
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
-		return &StatusError{Status: resp.StatusCode, Message: strings.TrimSpace(string(message))}
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(body, v)
-}
--- a/platform/list_client.go
+++ b/logservice/list_client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/amaranthwell/amaranthwell/httpjson"
 )
 
 // ListConfig configures a ListClient.
@@ -41,7 +43,7 @@
 }
 
 // List returns the platform's list, which lags behind what is the case. An
-// instance of an unknown kind is left out. It returns a *StatusError if the
+// instance of an unknown kind is left out. It returns a *httpjson.StatusError if the
 // list service refuses.
 func (c *ListClient) List(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
@@ -58,7 +60,7 @@
 			Leaving bool           `json:"leaving"`
 		} `json:"instances"`
 	}
-	if err := do(c.client, req, &answer); err != nil {
+	if err := httpjson.Do(c.client, req, &answer); err != nil {
 		return List{}, errors.Wrap(err, "list instances")
 	}
 	var list List
--- a/platform/list_client_test.go
+++ b/logservice/list_client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"net/http/httptest"
@@ -9,7 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/httpjson"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
@@ -19,7 +20,7 @@
 	list := standin.NewInstances(standin.InstancesConfig{Lag: time.Second, Now: func() time.Time { return now }})
 	server := httptest.NewServer(list)
 	defer server.Close()
-	client, err := platform.NewListClient(platform.ListConfig{URL: server.URL + "/"})
+	client, err := logservice.NewListClient(logservice.ListConfig{URL: server.URL + "/"})
 	is.NoErr(err)
 	defer client.Close()
 
@@ -31,12 +32,12 @@
 	now = now.Add(time.Second)
 	got, err = client.List(t.Context())
 	is.NoErr(err)
-	is.Equal(got.Instances, []platform.Instance{
-		{Address: address, Kind: platform.EntryInstance, Zone: "hr-north-a", Leaving: true},
+	is.Equal(got.Instances, []logservice.Instance{
+		{Address: address, Kind: logservice.EntryInstance, Zone: "hr-north-a", Leaving: true},
 	})
 
 	list.SetDown(true)
 	_, err = client.List(t.Context())
-	var status *platform.StatusError
+	var status *httpjson.StatusError
 	is.True(errors.As(err, &status))
 }
--- a/platform/log_client.go
+++ b/logservice/log_client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"bytes"
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+
+	"github.com/amaranthwell/amaranthwell/httpjson"
 )
 
 // LogConfig configures a LogClient.
@@ -118,7 +120,7 @@
 	var answer struct {
 		Offset uint64 `json:"offset"`
 	}
-	if err := do(c.client, req, &answer); err != nil {
+	if err := httpjson.Do(c.client, req, &answer); err != nil {
 		return 0, appendError(stream, err)
 	}
 	if answer.Offset == 0 {
@@ -133,7 +135,7 @@
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return &RefusedError{Stream: stream, Err: err}
 	}
-	var statusErr *StatusError
+	var statusErr *httpjson.StatusError
 	if !errors.As(err, &statusErr) {
 		return &UnknownError{Stream: stream, Err: err}
 	}
@@ -147,7 +149,7 @@
 
 // Read returns at most limit records of the stream from the offset from on. If
 // there is none it waits for one, at most for wait. A page whose First is
-// above from tells that records expired unread. It returns a *StatusError if
+// above from tells that records expired unread. It returns a *httpjson.StatusError if
 // the log refuses.
 func (c *LogClient) Read(ctx context.Context, stream string, from uint64, wait time.Duration, limit int) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.Timeout)
@@ -165,7 +167,7 @@
 			Body   []byte `json:"body"`
 		} `json:"records"`
 	}
-	if err := do(c.client, req, &answer); err != nil {
+	if err := httpjson.Do(c.client, req, &answer); err != nil {
 		return Page{}, errors.Wrapf(err, "read %s", stream)
 	}
 	page := Page{First: answer.First, Next: answer.Next}
--- a/platform/log_client_test.go
+++ b/logservice/log_client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -13,7 +13,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/httpjson"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
@@ -22,14 +23,14 @@
 }
 
 // newLog returns a log and a client of it, both ended with the test.
-func newLog(t *testing.T, cfg standin.LogConfig, clientCfg platform.LogConfig) (*standin.Log, *platform.LogClient) {
+func newLog(t *testing.T, cfg standin.LogConfig, clientCfg logservice.LogConfig) (*standin.Log, *logservice.LogClient) {
 	t.Helper()
 	cfg.AppendDelay = -1
 	log := standin.NewLog(cfg)
 	server := httptest.NewServer(log)
 	t.Cleanup(server.Close)
 	clientCfg.URL = server.URL
-	client, err := platform.NewLogClient(clientCfg)
+	client, err := logservice.NewLogClient(clientCfg)
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = client.Close() })
 	return log, client
@@ -38,7 +39,7 @@
 func ExampleLogClient() {
 	server := httptest.NewServer(standin.NewLog(standin.LogConfig{}))
 	defer server.Close()
-	client, err := platform.NewLogClient(platform.LogConfig{URL: server.URL})
+	client, err := logservice.NewLogClient(logservice.LogConfig{URL: server.URL})
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -54,14 +55,14 @@
 		return
 	}
 	msg := <-messages
-	fmt.Println(platform.OffsetOf(msg), string(msg.Payload))
+	fmt.Println(logservice.OffsetOf(msg), string(msg.Payload))
 	msg.Ack()
 	// Output: 1 edit
 }
 
 func TestAppendTellsRefusedFromUnknown(t *testing.T) {
-	var refused *platform.RefusedError
-	var unknown *platform.UnknownError
+	var refused *logservice.RefusedError
+	var unknown *logservice.UnknownError
 	for _, test := range []struct {
 		name    string
 		faults  standin.LogFaults
@@ -74,7 +75,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			log, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+			log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 			// The connection is in use when the fault comes.
 			_, err := client.Append(t.Context(), "s", []byte("w"))
 			is.NoErr(err)
@@ -93,12 +94,12 @@
 func TestAppendOverLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	_, client := newLog(t, standin.LogConfig{AppendsPerSecond: 1, Now: func() time.Time { return now }}, platform.LogConfig{})
+	_, client := newLog(t, standin.LogConfig{AppendsPerSecond: 1, Now: func() time.Time { return now }}, logservice.LogConfig{})
 	offset, err := client.Append(t.Context(), "s", []byte("x"))
 	is.NoErr(err)
 	is.Equal(offset, uint64(1))
 	_, err = client.Append(t.Context(), "s", []byte("x"))
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	is.True(errors.As(err, &refused))
 	is.Equal(refused.Status, http.StatusTooManyRequests)
 }
@@ -107,11 +108,11 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
-	client, err := platform.NewLogClient(platform.LogConfig{URL: server.URL})
+	client, err := logservice.NewLogClient(logservice.LogConfig{URL: server.URL})
 	is.NoErr(err)
 	defer client.Close()
 	_, err = client.Append(t.Context(), "s", []byte("x"))
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	is.True(errors.As(err, &refused))
 	is.Equal(refused.Status, 0)
 }
@@ -119,31 +120,31 @@
 func TestAppendWithoutAnswerInTimeIsUnknown(t *testing.T) {
 	is := is.New(t)
 	// The log answers only after the client has given up.
-	log, client := newLog(t, standin.LogConfig{}, platform.LogConfig{Timeout: time.Millisecond})
+	log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{Timeout: time.Millisecond})
 	log.SetFaults(standin.LogFaults{Delay: 100 * time.Millisecond})
 	_, err := client.Append(t.Context(), "s", []byte("x"))
-	var unknown *platform.UnknownError
+	var unknown *logservice.UnknownError
 	is.True(errors.As(err, &unknown))
 }
 
 func TestReadOfLogThatIsDown(t *testing.T) {
 	is := is.New(t)
-	log, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	log.SetFaults(standin.LogFaults{Down: true})
 	_, err := client.Read(t.Context(), "s", 1, 0, 10)
-	var status *platform.StatusError
+	var status *httpjson.StatusError
 	is.True(errors.As(err, &status))
 	is.Equal(status.Status, http.StatusServiceUnavailable)
 }
 
 func TestNewLogClientChecksConfig(t *testing.T) {
-	for field, cfg := range map[string]platform.LogConfig{
+	for field, cfg := range map[string]logservice.LogConfig{
 		"url":     {URL: "127.0.0.1:7100"},
-		"backoff": {URL: "http://127.0.0.1:7100", Backoff: platform.BackoffConfig{Min: 2, Max: 1}},
+		"backoff": {URL: "http://127.0.0.1:7100", Backoff: logservice.BackoffConfig{Min: 2, Max: 1}},
 	} {
 		is := is.New(t)
-		_, err := platform.NewLogClient(cfg)
-		var configErr *platform.ConfigError
+		_, err := logservice.NewLogClient(cfg)
+		var configErr *logservice.ConfigError
 		is.True(errors.As(err, &configErr))
 		is.Equal(configErr.Field, field)
 	}
--- a/platform/pubsub_test.go
+++ b/logservice/pubsub_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"testing"
@@ -9,12 +9,12 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
 // publish appends one record for each body.
-func publish(is *is.I, client *platform.LogClient, bodies ...string) {
+func publish(is *is.I, client *logservice.LogClient, bodies ...string) {
 	is.Helper()
 	for _, body := range bodies {
 		is.NoErr(client.Publish("s", message.NewMessage("", []byte(body))))
@@ -25,16 +25,16 @@
 func receive(is *is.I, messages <-chan *message.Message, offset uint64, body string) {
 	is.Helper()
 	msg := <-messages
-	is.Equal(platform.OffsetOf(msg), offset)
+	is.Equal(logservice.OffsetOf(msg), offset)
 	is.Equal(string(msg.Payload), body)
 	msg.Ack()
 }
 
 // receiveGap acknowledges the next message, which must report the gap.
-func receiveGap(is *is.I, messages <-chan *message.Message, want platform.Gap) {
+func receiveGap(is *is.I, messages <-chan *message.Message, want logservice.Gap) {
 	is.Helper()
 	msg := <-messages
-	gap, ok := platform.GapOf(msg)
+	gap, ok := logservice.GapOf(msg)
 	is.True(ok)
 	is.Equal(gap, want)
 	is.Equal(len(msg.Payload), 0)
@@ -51,8 +51,8 @@
 		}
 		return nil
 	})
-	backoff := platform.BackoffConfig{Min: time.Millisecond, Max: 2 * time.Millisecond}
-	standinLog, client := newLog(t, standin.LogConfig{}, platform.LogConfig{Logger: logger, Backoff: backoff})
+	backoff := logservice.BackoffConfig{Min: time.Millisecond, Max: 2 * time.Millisecond}
+	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{Logger: logger, Backoff: backoff})
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
 	publish(is, client, "a")
@@ -71,31 +71,31 @@
 
 func TestSubscriberReportsGap(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b", "c", "d")
 	standinLog.Expire("s", 3)
 	messages, err := client.SubscribeFrom(t.Context(), "s", 2)
 	is.NoErr(err)
-	receiveGap(is, messages, platform.Gap{From: 2, To: 2})
+	receiveGap(is, messages, logservice.Gap{From: 2, To: 2})
 	receive(is, messages, 3, "c")
 	receive(is, messages, 4, "d")
 }
 
 func TestSubscriberReportsGapUpToTheEnd(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b")
 	standinLog.Expire("s", 3)
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
-	receiveGap(is, messages, platform.Gap{From: 1, To: 2})
+	receiveGap(is, messages, logservice.Gap{From: 1, To: 2})
 	publish(is, client, "c")
 	receive(is, messages, 3, "c")
 }
 
 func TestSubscriberDeliversAgainAfterNack(t *testing.T) {
 	is := is.New(t)
-	_, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	_, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b")
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
@@ -106,10 +106,10 @@
 
 func TestPublishStopsAtTheFirstFailure(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	standinLog.SetFaults(standin.LogFaults{LoseAnswers: 1})
 	err := client.Publish("s", message.NewMessage("", []byte("a")), message.NewMessage("", []byte("b")))
-	var unknown *platform.UnknownError
+	var unknown *logservice.UnknownError
 	is.True(errors.As(err, &unknown))
 	publish(is, client, "c")
 	messages, err := client.Subscribe(t.Context(), "s")
@@ -120,13 +120,13 @@
 
 func TestCloseEndsSubscriptions(t *testing.T) {
 	is := is.New(t)
-	_, client := newLog(t, standin.LogConfig{}, platform.LogConfig{})
+	_, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
 	waiting, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
 	is.NoErr(client.Close())
 	_, open := <-waiting
 	is.True(!open)
 	_, err = client.Subscribe(t.Context(), "s")
-	is.True(errors.Is(err, platform.ErrClosed))
-	is.True(errors.Is(client.Publish("s", message.NewMessage("", nil)), platform.ErrClosed))
+	is.True(errors.Is(err, logservice.ErrClosed))
+	is.True(errors.Is(client.Publish("s", message.NewMessage("", nil)), logservice.ErrClosed))
 }
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // A Record is one record of a stream of the log.
-type Record = platform.Record
+type Record = logservice.Record
 
 // A Page is what one read of a stream returned.
-type Page = platform.Page
+type Page = logservice.Page
 
 // A PageError reports a page that cannot follow what the reader has applied.
 type PageError struct {
--- /dev/null
+++ b/peer/leadership.go
@@ -0,0 +1,434 @@
+package peer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of a Leadership.
+const (
+	// BeatEvery is the time between a leader's beats to each instance.
+	BeatEvery = 100 * time.Millisecond
+	// Silence is the time without a beat after which a leader is taken for
+	// gone.
+	Silence = 450 * time.Millisecond
+	// pollEvery is the time between the questions of an instance that seeks a
+	// leader.
+	pollEvery = 60 * time.Millisecond
+	// pollFor is the time for which an instance collects answers before it
+	// claims to lead, and rankDelay what each better candidate adds to it.
+	pollFor   = 120 * time.Millisecond
+	rankDelay = 100 * time.Millisecond
+	// alone is the silence of everybody after which an instance claims to
+	// lead although nobody confirms that the leader is gone: it may be the
+	// one that is cut off.
+	alone = 4 * time.Second
+	// fencedFor is the time for which an instance that a worker refused as
+	// outdated, and that hears nobody, makes no claim.
+	fencedFor = 10 * time.Second
+	// steady is the time for which another leader must have been heard before
+	// its availability zones are taken over, and orphaned the time without a
+	// leader after which a zone without live instances is.
+	steady   = time.Second
+	orphaned = time.Second
+	// forgetAfter is the silence after which an instance is no longer written
+	// to. It makes itself known again if it lives.
+	forgetAfter = 15 * time.Second
+)
+
+// termBits is the number of low bits of a term that tell claims of the same
+// millisecond apart.
+const termBits = 10
+
+// fencedLead is how far beyond the present time a claim begins after a worker
+// refused an earlier one: another process's clock may be ahead.
+const fencedLead = 10 * time.Second
+
+// LeadershipConfig configures a Leadership.
+type LeadershipConfig struct {
+	// Self is this instance's address for its peers.
+	Self netip.AddrPort
+	// Zone is this instance's availability zone, and Zones are all zones.
+	Zone  string
+	Zones []string
+	// Wall is the time of day at the start, for the first term, which must be
+	// above those of earlier processes.
+	Wall time.Time
+}
+
+// A Claim says who leads an availability zone.
+type Claim struct {
+	Leader netip.AddrPort
+	// Term is higher for each later claim. Workers do nothing for a lower
+	// term than the highest that they have seen.
+	Term uint64
+	// Heard is when the leader was last heard.
+	Heard time.Time
+}
+
+// A Leadership decides which instance dispatches the jobs of an availability
+// zone: one for all zones where instances hear each other, and one for each
+// part that is cut off. Two may lead a zone for a moment; workers serve only
+// the later one.
+//
+// A Leadership is not safe for concurrent use: the control goroutine owns it.
+type Leadership struct {
+	cfg     LeadershipConfig
+	start   time.Time
+	claims  map[string]Claim
+	members map[netip.AddrPort]*standing
+	// lost is when this instance was last told by a worker that its claim to
+	// a zone is outdated.
+	lost time.Time
+	// ahead is how far terms run ahead of the time of day.
+	ahead time.Duration
+	// silentSince is when this instance began to seek a leader of its zone.
+	silentSince time.Time
+	polledAt    time.Time
+	beatAt      time.Time
+	leaving     bool
+}
+
+// standing is what is known of another instance.
+type standing struct {
+	zone  string
+	heard time.Time
+	// steadySince is when it was first heard after its last silence.
+	steadySince time.Time
+	// added is when it became known.
+	added time.Time
+	// hears are the zones whose leaders it hears, by the time of its beat.
+	hears   map[string]uint64
+	leaving bool
+}
+
+// NewLeadership returns a Leadership that knows no other instance.
+func NewLeadership(now time.Time, cfg LeadershipConfig) *Leadership {
+	l := &Leadership{
+		cfg:         cfg,
+		start:       now,
+		claims:      make(map[string]Claim),
+		members:     make(map[netip.AddrPort]*standing),
+		silentSince: now,
+	}
+	return l
+}
+
+// AddMember makes an instance known.
+func (l *Leadership) AddMember(now time.Time, addr netip.AddrPort, zone string) {
+	if addr == l.cfg.Self || l.members[addr] != nil {
+		return
+	}
+	l.members[addr] = &standing{zone: zone, added: now}
+}
+
+// Leads returns the term with which this instance leads zone.
+func (l *Leadership) Leads(zone string) (uint64, bool) {
+	c, ok := l.claims[zone]
+	return c.Term, ok && c.Leader == l.cfg.Self
+}
+
+// Leading reports whether this instance leads any zone.
+func (l *Leadership) Leading() bool {
+	for _, c := range l.claims {
+		if c.Leader == l.cfg.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// Claim returns the latest known claim to zone, and whether its leader was
+// heard within Silence.
+func (l *Leadership) Claim(now time.Time, zone string) (Claim, bool) {
+	c, ok := l.claims[zone]
+	return c, ok && l.fresh(now, c)
+}
+
+func (l *Leadership) fresh(now time.Time, c Claim) bool {
+	return c.Leader == l.cfg.Self || now.Sub(c.Heard) < Silence
+}
+
+// Heard returns when addr was last heard. This instance hears itself.
+func (l *Leadership) Heard(now time.Time, addr netip.AddrPort) time.Time {
+	if addr == l.cfg.Self {
+		return now
+	}
+	if m := l.members[addr]; m != nil {
+		return m.heard
+	}
+	return time.Time{}
+}
+
+// Members returns the addresses of the known instances but this one, in order.
+func (l *Leadership) Members() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(l.members))
+	for addr := range l.members {
+		all = append(all, addr)
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return all
+}
+
+// Fenced gives zone up, because a worker has served a later claim.
+func (l *Leadership) Fenced(now time.Time, zone string) {
+	c, ok := l.claims[zone]
+	if !ok || c.Leader != l.cfg.Self {
+		return
+	}
+	l.lost = now
+	l.ahead = max(2*l.ahead, fencedLead)
+	l.giveUp(now, zone)
+}
+
+// Woke gives up all zones after this process stood still.
+func (l *Leadership) Woke(now time.Time) {
+	for zone, c := range l.claims {
+		if c.Leader == l.cfg.Self {
+			l.giveUp(now, zone)
+		}
+	}
+	for _, m := range l.members {
+		m.steadySince = time.Time{}
+	}
+	l.silentSince = now
+}
+
+// giveUp waits for another leader of zone, from now.
+func (l *Leadership) giveUp(now time.Time, zone string) {
+	c := l.claims[zone]
+	c.Leader = netip.AddrPort{}
+	c.Heard = now
+	l.claims[zone] = c
+}
+
+// Leave makes this instance claim no zone any more, and tell the others that
+// they are to replace it.
+func (l *Leadership) Leave() { l.leaving = true }
+
+// Receive takes a beat from an instance of zone, and returns the answer to it
+// or nil.
+func (l *Leadership) Receive(now time.Time, from netip.AddrPort, zone string, leaving bool, b *Beat) *Beat {
+	if from == l.cfg.Self {
+		return nil
+	}
+	l.AddMember(now, from, zone)
+	m := l.members[from]
+	if now.Sub(m.heard) > Silence {
+		m.steadySince = now
+	}
+	m.zone, m.heard, m.leaving = zone, now, leaving
+	m.hears = make(map[string]uint64, len(b.Hears))
+	for _, h := range b.Hears {
+		m.hears[h.Zone] = h.Term
+		l.takeHeard(now, h)
+	}
+	for _, lead := range b.Leads {
+		l.takeLead(now, from, leaving, lead)
+	}
+	for _, other := range b.Members {
+		if addr, err := netip.ParseAddrPort(other.Address); err == nil {
+			l.AddMember(now, addr, other.Zone)
+		}
+	}
+	if b.Reply || (len(b.Leads) == 0 && !b.Seeking) {
+		return nil
+	}
+	reply := l.beat(now)
+	reply.Reply = true
+	return reply
+}
+
+// takeLead takes the claim of the instance that sent it.
+func (l *Leadership) takeLead(now time.Time, from netip.AddrPort, leaving bool, lead *Lead) {
+	c := l.claims[lead.Zone]
+	if lead.Term < c.Term {
+		return
+	}
+	heard := now
+	if leaving {
+		heard = time.Time{}
+	}
+	l.claims[lead.Zone] = Claim{Leader: from, Term: lead.Term, Heard: heard}
+}
+
+// takeHeard takes a claim that another instance has heard.
+func (l *Leadership) takeHeard(now time.Time, h *Lead) {
+	leader, err := netip.ParseAddrPort(h.Leader)
+	if err != nil || leader == l.cfg.Self || h.Term <= l.claims[h.Zone].Term {
+		return
+	}
+	l.claims[h.Zone] = Claim{Leader: leader, Term: h.Term, Heard: now.Add(-time.Duration(h.AgeNanos))}
+}
+
+// Tick moves what depends on the time. It returns the beat that is due to all
+// members, or nil.
+func (l *Leadership) Tick(now time.Time) *Beat {
+	for addr, m := range l.members {
+		if now.Sub(m.heard) > forgetAfter && now.Sub(m.added) > forgetAfter {
+			delete(l.members, addr)
+		}
+	}
+	claimed := l.seek(now)
+	if l.Leading() && !l.leaving {
+		claimed = l.merge(now) || claimed
+	}
+	if l.Leading() {
+		if !claimed && now.Sub(l.beatAt) < BeatEvery {
+			return nil
+		}
+		l.beatAt = now
+		return l.beat(now)
+	}
+	if !l.silentSince.IsZero() && now.Sub(l.polledAt) >= pollEvery {
+		l.polledAt = now
+		beat := l.beat(now)
+		beat.Seeking = true
+		return beat
+	}
+	return nil
+}
+
+// seek claims this instance's zone if its leader is gone and it is the one to
+// replace it. It reports whether it did.
+func (l *Leadership) seek(now time.Time) bool {
+	if c, ok := l.claims[l.cfg.Zone]; ok && l.fresh(now, c) {
+		l.silentSince = time.Time{}
+		return false
+	}
+	if l.silentSince.IsZero() {
+		l.silentSince = now
+		l.polledAt = time.Time{}
+		return false
+	}
+	if l.leaving {
+		return false
+	}
+	asked := now.Sub(l.silentSince)
+	rank, confirmed := l.poll()
+	if !confirmed {
+		if asked < alone || (!l.lost.IsZero() && now.Sub(l.lost) < fencedFor) {
+			return false
+		}
+		l.claim(now, l.cfg.Zone)
+		return true
+	}
+	if asked < pollFor+time.Duration(rank)*rankDelay {
+		return false
+	}
+	l.claim(now, l.cfg.Zone)
+	return true
+}
+
+// poll looks at the answers since this instance began to seek. It returns the
+// number of instances that are to claim the zone before this one, and whether
+// somebody answered and nobody hears a leader of the zone.
+func (l *Leadership) poll() (rank int, confirmed bool) {
+	for addr, m := range l.members {
+		if !m.heard.After(l.silentSince) {
+			continue
+		}
+		if _, hears := m.hears[l.cfg.Zone]; hears {
+			return 0, false
+		}
+		confirmed = true
+		if m.zone == l.cfg.Zone && !m.leaving && addr.Compare(l.cfg.Self) < 0 {
+			rank++
+		}
+	}
+	return rank, confirmed
+}
+
+// merge takes over the zones of other leaders that this one comes before, and
+// those without live instances. It reports whether it did.
+func (l *Leadership) merge(now time.Time) bool {
+	claimed := false
+	led := l.ledBy()
+	for _, zone := range l.cfg.Zones {
+		c, ok := l.claims[zone]
+		if ok && c.Leader == l.cfg.Self {
+			continue
+		}
+		if l.orphan(now, zone, c) || l.yields(now, c, led) {
+			l.claim(now, zone)
+			claimed = true
+		}
+	}
+	return claimed
+}
+
+// ledBy counts the zones of each leader.
+func (l *Leadership) ledBy() map[netip.AddrPort]int {
+	led := make(map[netip.AddrPort]int)
+	for _, c := range l.claims {
+		led[c.Leader]++
+	}
+	return led
+}
+
+// orphan reports whether zone has neither a leader nor a live instance.
+func (l *Leadership) orphan(now time.Time, zone string, c Claim) bool {
+	if now.Sub(l.start) < orphaned+pollFor || (!c.Heard.IsZero() && now.Sub(c.Heard) < orphaned) {
+		return false
+	}
+	for _, m := range l.members {
+		if m.zone == zone && now.Sub(m.heard) < orphaned {
+			return false
+		}
+	}
+	return true
+}
+
+// yields reports whether the leader of c is live and comes after this one.
+func (l *Leadership) yields(now time.Time, c Claim, led map[netip.AddrPort]int) bool {
+	m := l.members[c.Leader]
+	if m == nil || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
+		return false
+	}
+	order := cmp.Compare(led[c.Leader], led[l.cfg.Self])
+	if order == 0 {
+		order = l.cfg.Self.Compare(c.Leader)
+	}
+	return order < 0
+}
+
+// claim makes this instance the leader of zone.
+func (l *Leadership) claim(now time.Time, zone string) {
+	wall := l.cfg.Wall.Add(now.Sub(l.start) + l.ahead)
+	term := uint64(wall.UnixMilli()) << termBits
+	for _, c := range l.claims {
+		if term <= c.Term {
+			term = (c.Term>>termBits + 1) << termBits
+		}
+	}
+	term |= xxhash.Sum64String(l.cfg.Self.String()) & (1<<termBits - 1)
+	l.claims[zone] = Claim{Leader: l.cfg.Self, Term: term, Heard: now}
+	if zone == l.cfg.Zone {
+		l.silentSince = time.Time{}
+	}
+}
+
+// Beat returns this instance's view, to be sent at once.
+func (l *Leadership) Beat(now time.Time) *Beat { return l.beat(now) }
+
+// beat returns this instance's view.
+func (l *Leadership) beat(now time.Time) *Beat {
+	b := &Beat{}
+	for _, zone := range l.cfg.Zones {
+		c, ok := l.claims[zone]
+		switch {
+		case !ok || !c.Leader.IsValid():
+		case c.Leader == l.cfg.Self:
+			b.Leads = append(b.Leads, &Lead{Zone: zone, Term: c.Term})
+		case l.fresh(now, c):
+			b.Hears = append(b.Hears, &Lead{
+				Zone: zone, Term: c.Term, Leader: c.Leader.String(), AgeNanos: int64(now.Sub(c.Heard)),
+			})
+		}
+	}
+	return b
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -10,16 +10,20 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/amaranthwell/amaranthwell/tcp"
 )
 
 // Times of the links between instances.
 const (
-	dialTimeout  = 2 * time.Second
 	sendTimeout  = 5 * time.Second
 	redialAfter  = 200 * time.Millisecond
 	linkCapacity = 1024
 )
 
+// dialer bounds how long a link hangs on a peer that has gone silent.
+var dialer = tcp.Dialer{Connect: 400 * time.Millisecond, Unacknowledged: 700 * time.Millisecond}
+
 // A Receiver takes what arrives over links. Its methods are called from the
 // goroutines of the links.
 type Receiver interface {
@@ -128,8 +132,7 @@
 
 // carry opens a stream and sends envelopes over it until it breaks.
 func (l *Link) carry(ctx context.Context, receiver Receiver) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", l.address.String())
+	raw, err := dialer.Dial(ctx, "tcp", l.address.String())
 	if err != nil {
 		return
 	}
--- a/peer/members.go
+++ b/peer/members.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // MembersConfig configures Members.
@@ -116,10 +116,10 @@
 }
 
 // SetList takes the platform's list as seen at now.
-func (m *Members) SetList(now time.Time, list platform.List) {
-	listed := make(map[netip.AddrPort]platform.Instance)
+func (m *Members) SetList(now time.Time, list logservice.List) {
+	listed := make(map[netip.AddrPort]logservice.Instance)
 	for _, i := range list.Instances {
-		if i.Kind == platform.EntryInstance && i.Address != m.cfg.Self {
+		if i.Kind == logservice.EntryInstance && i.Address != m.cfg.Self {
 			listed[i.Address] = i
 		}
 	}
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/platform"
+	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 var (
@@ -121,8 +121,8 @@
 func TestAListedPeerIsNotForgotten(t *testing.T) {
 	is := is.New(t)
 	a, b := newMembers(self, 1), newMembers(second, 2)
-	a.SetList(start, platform.List{Instances: []platform.Instance{
-		{Address: second, Kind: platform.EntryInstance, Zone: "a"},
+	a.SetList(start, logservice.List{Instances: []logservice.Instance{
+		{Address: second, Kind: logservice.EntryInstance, Zone: "a"},
 	}})
 	send(start, b, a, second, self)
 	later := start.Add(10 * peer.DefaultForgetAfter)
@@ -137,12 +137,12 @@
 	is := is.New(t)
 	a, b := newMembers(self, 1), newMembers(second, 2)
 	send(start, b, a, second, self)
-	listed := platform.Instance{Address: second, Kind: platform.EntryInstance, Zone: "a", Leaving: true}
-	a.SetList(start, platform.List{Instances: []platform.Instance{listed}})
+	listed := logservice.Instance{Address: second, Kind: logservice.EntryInstance, Zone: "a", Leaving: true}
+	a.SetList(start, logservice.List{Instances: []logservice.Instance{listed}})
 	send(start, b, a, second, self)
 	is.True(!a.Live(second))
 	listed.Leaving = false
-	a.SetList(start, platform.List{Instances: []platform.Instance{listed}})
+	a.SetList(start, logservice.List{Instances: []logservice.Instance{listed}})
 	send(start, b, a, second, self)
 	is.True(a.Live(second))
 	b.SetLeaving()
--- /dev/null
+++ b/tcp/tcp.go
@@ -0,0 +1,39 @@
+// Package tcp opens connections that do not hang on a silent peer.
+package tcp
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A Dialer opens TCP connections.
+type Dialer struct {
+	// Connect bounds the time until a connection is open.
+	Connect time.Duration
+	// Unacknowledged is for how long sent bytes may go unacknowledged before a
+	// connection fails.
+	Unacknowledged time.Duration
+}
+
+// Dial opens a connection. Its signature is that of http.Transport.DialContext.
+func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: d.Connect, Control: func(_, _ string, c syscall.RawConn) error {
+		return limitUnacknowledged(c, d.Unacknowledged)
+	}}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func limitUnacknowledged(c syscall.RawConn, limit time.Duration) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit/time.Millisecond))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
