dispatch: keep the median of the workers' speeds at 1

Cause: speeds and run times are learnt from each other and drifted upwards together, until jobs were taken to be hopeless with workers free.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -205,10 +205,11 @@
 func (d *dispatcher) begin(now time.Time, job Job) *activeJob {
 	j := newActiveJob(job)
 	d.jobs[job.ID] = j
-	var longest time.Duration
+	var longest, nominal time.Duration
 	for _, step := range job.Steps {
 		expected := d.estimates.expect(job.Route, step.Estimate)
 		longest += expected
+		nominal += d.estimates.nominal(job.Route, expected)
 		cores := float64(step.Needs.Millicores) / 1000
 		j.work += expected.Seconds() * cores * float64(step.Tasks)
 		if d.typicalCPU == 0 {
@@ -217,7 +218,7 @@
 		d.typicalCPU += estimateWeight * (float64(step.Needs.Millicores) - d.typicalCPU)
 	}
 	j.chain = longest
-	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(longest)) + job.Slack - overhead)
+	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
 	if len(d.foreign) > 0 || job.Round > 0 {
 		d.claimRuns(now, j)
 	}
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -73,6 +74,37 @@
 	w.speed = min(max(speed, minSpeed), maxSpeed)
 }
 
+// nominal returns the run time that the caller's estimates mean by expected, a
+// run time on a worker of speed 1.
+func (e estimates) nominal(route string, expected time.Duration) time.Duration {
+	r := e[route]
+	if r == nil {
+		return expected
+	}
+	return time.Duration(float64(expected) / math.Exp(r.bias))
+}
+
+// level makes the median of the workers' speeds 1 again, and the run times fit:
+// they are learnt from each other, and would drift together.
+func (d *dispatcher) level() {
+	if len(d.order) == 0 {
+		return
+	}
+	speeds := make([]float64, 0, len(d.order))
+	for _, w := range d.order {
+		speeds = append(speeds, w.speed)
+	}
+	slices.Sort(speeds)
+	median := speeds[len(speeds)/2]
+	for _, w := range d.order {
+		w.speed = min(max(w.speed/median, minSpeed), maxSpeed)
+	}
+	for _, r := range d.estimates {
+		r.typical -= math.Log(median)
+		r.bias -= math.Log(median)
+	}
+}
+
 // on returns how long something takes on w that takes d at speed 1.
 func (w *worker) on(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / w.speed)
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -15,6 +15,7 @@
 	}
 	d.watch(now)
 	d.watchJobs(now, leadership)
+	d.level()
 	d.topSpeed = d.fastest(now)
 	for id, kept := range d.ends {
 		if now.Sub(kept.at) > keepEnds {
