peer, dispatch: let instances find each other when the leader goes

A job's runs that were being stopped did not keep its tasks from being started anew (TWICE); a job that an earlier leader had was called not run (REFUSED). Change: a leader's beats list the instances; terms run ahead only if nobody knows the claim that fenced; no task starts while any run of it is known; a job that another leader had is never called not run.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -23,8 +23,9 @@
 	jobs    map[string]*activeJob
 	queue   queue
 	ends    map[string]*keptEnd
-	// foreign finds the runs that no job of this leader has claimed.
-	foreign   map[TaskID]*worker
+	// running finds the worker on which a task may be at work, whether a job
+	// of this leader wants it or not. No task is started that is in it.
+	running   map[TaskID]*worker
 	estimates estimates
 	// topSpeed is the speed of a fast worker, and typicalCPU what a task
 	// usually needs, in thousandths of a core.
@@ -55,7 +56,7 @@
 		workers:   make(map[string]*worker),
 		jobs:      make(map[string]*activeJob),
 		ends:      make(map[string]*keptEnd),
-		foreign:   make(map[TaskID]*worker),
+		running:   make(map[TaskID]*worker),
 		estimates: make(estimates),
 		topSpeed:  1,
 	}
@@ -107,7 +108,7 @@
 	d.jobs = make(map[string]*activeJob)
 	d.queue = queue{}
 	d.ends = make(map[string]*keptEnd)
-	d.foreign = make(map[TaskID]*worker)
+	d.running = make(map[TaskID]*worker)
 	for i, w := range d.order {
 		fresh := newWorker(w.Worker)
 		fresh.speed = w.speed
@@ -177,7 +178,7 @@
 	j := d.jobs[job.ID]
 	if j == nil {
 		if len(d.jobs) >= maxJobs {
-			d.settle(now, from, End{ID: job.ID, State: NotRun, Reason: "too-many-jobs", RetryAfter: retryAfter})
+			d.settle(now, from, job.unserved("too-many-jobs"))
 			return
 		}
 		j = d.begin(now, job)
@@ -219,9 +220,7 @@
 	}
 	j.chain = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
-	if len(d.foreign) > 0 || job.Round > 0 {
-		d.claimRuns(now, j)
-	}
+	d.claimRuns(now, j)
 	return j
 }
 
@@ -229,7 +228,7 @@
 func (d *dispatcher) claimRuns(now time.Time, j *activeJob) {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
-			if w := d.foreign[t.id]; w != nil {
+			if w := d.running[t.id]; w != nil {
 				d.adopt(now, w, t)
 			}
 		}
@@ -245,13 +244,11 @@
 
 // adopt gives the run of t on w to t, or stops it if t has another.
 func (d *dispatcher) adopt(now time.Time, w *worker, t *task) {
-	delete(d.foreign, t.id)
 	r := w.runs[t.id]
 	if r == nil || r.state == runStopping {
 		return
 	}
-	if t.state != taskWaiting {
-		d.stop(now, w, r)
+	if t.state != taskWaiting || r.task != nil {
 		return
 	}
 	w.adopt(r, t)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -85,7 +85,7 @@
 func (i *Instance) broadcast(now time.Time, beat *peer.Beat) {
 	for _, addr := range i.leadership.Members() {
 		i.sendBeat(now, addr, &peer.Beat{
-			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Reply: beat.Reply,
+			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Members: beat.Members,
 		})
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -34,6 +34,15 @@
 	Settled time.Time
 }
 
+// unserved returns the end of a job of which this leader has started nothing.
+// Only if no other leader had it before is that a proof that nothing ran.
+func (j *Job) unserved(reason string) End {
+	if j.Round > 0 {
+		return End{ID: j.ID, State: Overdue, Reason: reason}
+	}
+	return End{ID: j.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
 // A Step is a group of equal tasks of a Job.
 type Step struct {
 	// Tasks is their number.
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -187,15 +187,28 @@
 		return
 	}
 	r := &run{id: p.Task, number: p.Number, foreign: true, since: now, movedAt: now, percent: p.Percent, state: runStarted}
-	w.add(r)
+	if other := d.running[p.Task]; other != nil {
+		// The task may be at work on another worker, too: both runs end.
+		d.stopTask(now, other, p.Task)
+		w.add(r)
+		d.stop(now, w, r)
+		return
+	}
+	d.addRun(w, r)
 	j := d.jobs[p.Task.Job]
 	if j == nil || p.Task.Step >= len(j.steps) || p.Task.Index >= len(j.steps[p.Task.Step]) {
-		d.foreign[p.Task] = w
 		return
 	}
 	d.adopt(now, w, j.steps[p.Task.Step][p.Task.Index])
 }
 
+// stopTask stops the run of a task on w, unless that is under way.
+func (d *dispatcher) stopTask(now time.Time, w *worker, id TaskID) {
+	if r := w.runs[id]; r != nil && r.state != runStopping {
+		d.stop(now, w, r)
+	}
+}
+
 // progress takes in that r is at work.
 func (d *dispatcher) progress(now time.Time, w *worker, r *run, percent int) {
 	if r.state == runSent || r.state == runUnclear {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -52,7 +52,7 @@
 			d.queue.stale = true
 		}
 		if !j.started && now.Add(best).After(j.limit()) {
-			d.end(now, j, End{ID: j.ID, State: NotRun, Reason: "overload", RetryAfter: retryAfter})
+			d.end(now, j, j.unserved("overload"))
 		}
 	}
 	if d.queue.stale {
@@ -68,6 +68,9 @@
 // placeJob starts waiting tasks of j, and reports whether none is left.
 func (d *dispatcher) placeJob(now time.Time, j *activeJob) bool {
 	for _, t := range slices.Clone(j.waiting) {
+		if d.running[t.id] != nil {
+			return false
+		}
 		w := d.choose(now, t)
 		if w == nil {
 			return false
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -13,11 +13,25 @@
 	return o
 }
 
+// addRun notes a run on w.
+func (d *dispatcher) addRun(w *worker, r *run) {
+	w.add(r)
+	d.running[r.id] = w
+}
+
+// removeRun forgets a run on w.
+func (d *dispatcher) removeRun(w *worker, r *run) {
+	w.remove(r)
+	if d.running[r.id] == w {
+		delete(d.running, r.id)
+	}
+}
+
 // start orders w to run t.
 func (d *dispatcher) start(now time.Time, w *worker, t *task) {
 	t.job.place(t)
 	t.number++
-	w.add(&run{
+	d.addRun(w, &run{
 		id:      t.id,
 		number:  t.number,
 		task:    t,
@@ -43,8 +57,7 @@
 
 // ended takes in the end of a run.
 func (d *dispatcher) ended(now time.Time, w *worker, r *run, how How) {
-	w.remove(r)
-	delete(d.foreign, r.id)
+	d.removeRun(w, r)
 	t := r.task
 	if t == nil {
 		return
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -175,7 +175,7 @@
 	return w.clockAt.IsZero() || w.clockLow(now) > w.leaseEnd+stopTime
 }
 
-// add notes a run.
+// add notes a run. Only a dispatcher calls it, which finds runs by their task.
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.plus(r.needs)
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -35,6 +35,8 @@
 	// leader after which a zone without live instances is.
 	steady   = time.Second
 	orphaned = time.Second
+	// listEvery is the time between a leader's lists of the instances.
+	listEvery = time.Second
 	// forgetAfter is the silence after which an instance is no longer written
 	// to. It makes itself known again if it lives.
 	forgetAfter = 15 * time.Second
@@ -82,10 +84,13 @@
 	claims  map[string]Claim
 	members map[netip.AddrPort]*standing
 	// lost is when this instance was last told by a worker that its claim to
-	// a zone is outdated.
-	lost time.Time
+	// a zone is outdated, and lostTerm the term of that claim until the next.
+	lost     time.Time
+	lostTerm uint64
 	// ahead is how far terms run ahead of the time of day.
 	ahead time.Duration
+	// listedAt is when the members were last listed in a beat.
+	listedAt time.Time
 	// silentSince is when this instance began to seek a leader of its zone.
 	silentSince time.Time
 	polledAt    time.Time
@@ -99,8 +104,8 @@
 	heard time.Time
 	// steadySince is when it was first heard after its last silence.
 	steadySince time.Time
-	// added is when it became known.
-	added time.Time
+	// listed is when it became known, or another instance last named it.
+	listed time.Time
 	// hears are the zones whose leaders it hears, by the time of its beat.
 	hears   map[string]uint64
 	leaving bool
@@ -120,10 +125,14 @@
 
 // AddMember makes an instance known.
 func (l *Leadership) AddMember(now time.Time, addr netip.AddrPort, zone string) {
-	if addr == l.cfg.Self || l.members[addr] != nil {
+	if addr == l.cfg.Self {
+		return
+	}
+	if m := l.members[addr]; m != nil {
+		m.listed = now
 		return
 	}
-	l.members[addr] = &standing{zone: zone, added: now}
+	l.members[addr] = &standing{zone: zone, listed: now}
 }
 
 // Leads returns the term with which this instance leads zone.
@@ -181,7 +190,7 @@
 		return
 	}
 	l.lost = now
-	l.ahead = max(2*l.ahead, fencedLead)
+	l.lostTerm = max(l.lostTerm, c.Term)
 	l.giveUp(now, zone)
 }
 
@@ -269,7 +278,7 @@
 // members, or nil.
 func (l *Leadership) Tick(now time.Time) *Beat {
 	for addr, m := range l.members {
-		if now.Sub(m.heard) > forgetAfter && now.Sub(m.added) > forgetAfter {
+		if now.Sub(m.heard) > forgetAfter && now.Sub(m.listed) > forgetAfter {
 			delete(l.members, addr)
 		}
 	}
@@ -282,7 +291,9 @@
 			return nil
 		}
 		l.beatAt = now
-		return l.beat(now)
+		beat := l.beat(now)
+		l.list(now, beat)
+		return beat
 	}
 	if !l.silentSince.IsZero() && now.Sub(l.polledAt) >= pollEvery {
 		l.polledAt = now
@@ -293,6 +304,19 @@
 	return nil
 }
 
+// list names the instances that were heard lately in a beat, at times.
+func (l *Leadership) list(now time.Time, beat *Beat) {
+	if now.Sub(l.listedAt) < listEvery {
+		return
+	}
+	l.listedAt = now
+	for _, addr := range l.Members() {
+		if m := l.members[addr]; now.Sub(m.heard) < forgetAfter {
+			beat.Members = append(beat.Members, &Member{Address: addr.String(), Zone: m.zone})
+		}
+	}
+}
+
 // seek claims this instance's zone if its leader is gone and it is the one to
 // replace it. It reports whether it did.
 func (l *Leadership) seek(now time.Time) bool {
@@ -398,13 +422,17 @@
 
 // claim makes this instance the leader of zone.
 func (l *Leadership) claim(now time.Time, zone string) {
-	wall := l.cfg.Wall.Add(now.Sub(l.start) + l.ahead)
-	term := uint64(wall.UnixMilli()) << termBits
+	var highest uint64
 	for _, c := range l.claims {
-		if term <= c.Term {
-			term = (c.Term>>termBits + 1) << termBits
-		}
+		highest = max(highest, c.Term)
 	}
+	if l.lostTerm > 0 && highest <= l.lostTerm {
+		// Nobody knows the claim that workers put before this one.
+		l.ahead = max(2*l.ahead, fencedLead)
+	}
+	l.lostTerm = 0
+	wall := l.cfg.Wall.Add(now.Sub(l.start) + l.ahead)
+	term := max(uint64(wall.UnixMilli()), highest>>termBits+1) << termBits
 	term |= xxhash.Sum64String(l.cfg.Self.String()) & (1<<termBits - 1)
 	l.claims[zone] = Claim{Leader: l.cfg.Self, Term: term, Heard: now}
 	if zone == l.cfg.Zone {
