dispatch, amaranthwell: forget the former loss of a leader; refuse late in a shutdown

Change: the loss is forgotten with the leader's return; after 2.5 s of a shutdown new jobs are refused as not run, and what is left at the end is answered.

--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -25,10 +25,10 @@
 	// readyMisses is the time after which the balancer has noticed that an
 	// instance is not ready.
 	readyMisses = 2500 * time.Millisecond
-	// quietFor is the time without an open job after which a shutdown ends.
-	quietFor = 300 * time.Millisecond
 	// graceMargin is the part of the grace period that is left unused.
 	graceMargin = 700 * time.Millisecond
+	// linkClose is the time for what waits in a link at the end.
+	linkClose = 100 * time.Millisecond
 	// memoryShare is the share of the memory limit at which the collector
 	// works harder.
 	memoryShare = 0.6
@@ -98,7 +98,8 @@
 		Metrics: s.metrics,
 	})
 	group, serving := errgroup.WithContext(serving)
-	if err := s.listen(serving, group); err != nil {
+	callers, err := s.listen(serving, group)
+	if err != nil {
 		return err
 	}
 	s.follow(serving, group)
@@ -108,7 +109,7 @@
 		case <-hup:
 			_ = s.logger.Log("event", "reloaded", "changed", "nothing: addresses are read at the start only")
 		case <-ctx.Done():
-			s.drain()
+			s.drain(callers)
 			stop()
 			return nil
 		case <-serving.Done():
@@ -117,11 +118,11 @@
 	}
 }
 
-// listen opens the ports.
-func (s *service) listen(ctx context.Context, group *errgroup.Group) error {
+// listen opens the ports, and returns the server of the callers' port.
+func (s *service) listen(ctx context.Context, group *errgroup.Group) (*http.Server, error) {
 	peers, err := net.Listen("tcp", s.node.Peers.String())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	group.Go(func() error { return ended(peer.Listen(ctx, peers, s.loop)) })
 	callers := &http.Server{
@@ -152,11 +153,11 @@
 	} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		serveHTTP(group, port.server, listener)
 	}
-	return nil
+	return callers, nil
 }
 
 // ready answers the balancer's health check.
@@ -186,24 +187,27 @@
 	s.loop.do(func(now time.Time, i *dispatch.Instance) { i.SetTables(now, tables.Version, text) })
 }
 
-// drain lets others lead, and ends once no caller waits.
-func (s *service) drain() {
+// drain lets others lead, answers what was taken, and refuses what comes once
+// the balancer has noticed.
+func (s *service) drain(callers *http.Server) {
 	_ = s.logger.Log("event", "leaving")
 	s.closing.Store(true)
 	start := time.Now()
 	s.loop.ask(func(now time.Time, i *dispatch.Instance) { i.Leave(now) })
-	quiet := start
-	for time.Since(start) < s.node.Grace-graceMargin {
-		time.Sleep(drainPoll)
-		busy := false
+	ctx, cancel := context.WithTimeout(context.Background(), s.node.Grace-graceMargin)
+	defer cancel()
+	sleep(ctx, readyMisses)
+	s.loop.ask(func(now time.Time, i *dispatch.Instance) { i.Close(now) })
+	for busy := true; busy && ctx.Err() == nil; {
 		s.loop.ask(func(_ time.Time, i *dispatch.Instance) { busy = i.OpenJobs() > 0 || i.Leading() })
-		if busy {
-			quiet = time.Now()
-		}
-		if time.Since(start) > readyMisses && time.Since(quiet) > quietFor {
-			break
-		}
+		sleep(ctx, drainPoll)
+	}
+	s.loop.ask(func(now time.Time, i *dispatch.Instance) { i.Abort(now) })
+	ctx, cancel = context.WithTimeout(context.Background(), graceMargin/2)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = s.logger.Log("event", "callers-cut-off", "error", err)
 	}
-	s.loop.closeLinks(100 * time.Millisecond)
+	s.loop.closeLinks(linkClose)
 	_ = s.logger.Log("event", "ended", "after", time.Since(start))
 }
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -181,6 +181,18 @@
 	i.broadcast(now, i.leadership.Beat(now))
 }
 
+// Close makes the instance refuse new jobs.
+func (i *Instance) Close(now time.Time) {
+	i.advance(now)
+	i.receiver.closed = true
+}
+
+// Abort answers all callers at once, because the process ends.
+func (i *Instance) Abort(now time.Time) {
+	i.advance(now)
+	i.receiver.abort(now)
+}
+
 // StartDone takes in a worker's answer to s, with its clock.
 func (i *Instance) StartDone(now time.Time, s Start, outcome Outcome, clock time.Duration) {
 	i.advance(now)
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -20,6 +20,8 @@
 	lostAt time.Time
 	// without is since when there is no leader, or zero.
 	without time.Time
+	// closed says that no new job is taken.
+	closed bool
 }
 
 // openJob is a job that has no end yet.
@@ -62,6 +64,8 @@
 // refusal returns why no new job is taken, or nothing.
 func (r *receiver) refusal(now time.Time) string {
 	switch {
+	case r.closed:
+		return "leaving"
 	case len(r.open) >= maxJobs:
 		return "too-many-jobs"
 	case !r.without.IsZero() && now.Sub(r.without) > noLeaderFor:
@@ -103,6 +107,7 @@
 	}
 	r.without = time.Time{}
 	if claim.Leader == r.leader.Leader && claim.Term == r.leader.Term {
+		r.lostAt = time.Time{}
 		return
 	}
 	former := r.leader.Leader
@@ -207,6 +212,28 @@
 	return true
 }
 
+// abort answers all callers at once: the process ends.
+func (r *receiver) abort(now time.Time) {
+	for _, id := range r.ids() {
+		r.giveUp(now, id, "leaving")
+	}
+}
+
+// giveUp answers the callers of a job that has not ended.
+func (r *receiver) giveUp(now time.Time, id, reason string) {
+	o := r.open[id]
+	end := End{ID: id, State: Overdue, Reason: reason}
+	if !o.begun {
+		end = End{ID: id, State: NotRun, Reason: reason, RetryAfter: retryAfter}
+	}
+	r.instance.decide("job-"+end.State.String(), id, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived))
+	for _, caller := range o.callers {
+		delete(r.callers, caller)
+		r.answer(caller, end)
+	}
+	r.withdraw(now, id)
+}
+
 // withdraw forgets a job that nobody waits for, here and at the leader.
 func (r *receiver) withdraw(now time.Time, id string) {
 	o := r.open[id]
@@ -225,19 +252,8 @@
 // tick ends the jobs whose callers' time has run out.
 func (r *receiver) tick(now time.Time) {
 	for _, id := range r.ids() {
-		o := r.open[id]
-		if now.Before(o.job.Patience) {
-			continue
-		}
-		end := End{ID: id, State: Overdue, Reason: "time-out"}
-		if !o.begun {
-			end = End{ID: id, State: NotRun, Reason: "no-leader", RetryAfter: retryAfter}
+		if !now.Before(r.open[id].job.Patience) {
+			r.giveUp(now, id, "time-out")
 		}
-		r.instance.decide("job-"+end.State.String(), id, "route", o.job.Route, "reason", end.Reason, "age", now.Sub(o.job.Arrived))
-		for _, caller := range o.callers {
-			delete(r.callers, caller)
-			r.answer(caller, end)
-		}
-		r.withdraw(now, id)
 	}
 }
