--- a/cmd/amaranthwell-slopes/fleet.go
+++ b/cmd/amaranthwell-slopes/fleet.go
@@ -9,9 +9,9 @@
 	"github.com/google/uuid"
 
 	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // Sizes of the fleet two years on.
--- a/cmd/amaranthwell/configuration.go
+++ b/cmd/amaranthwell/configuration.go
@@ -10,8 +10,8 @@
 	"github.com/go-kit/log"
 
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 // Times of following the configuration.
--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -23,9 +23,9 @@
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // Times of the daemon.
--- a/cmd/amaranthwell/log.go
+++ b/cmd/amaranthwell/log.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 // newLog returns the log at url, or an error if url is not one.
--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -79,10 +79,11 @@
 		l.ends[state] = cfg.Metrics.NewCounter(`amaranthwell_jobs_ended_total{state="` + state.String() + `"}`)
 	}
 	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
-		Self:  cfg.Node.Peers,
-		Zone:  cfg.Node.Zone,
-		Zones: cfg.Node.Zones,
-		Wall:  time.Now(),
+		Self:        cfg.Node.Peers,
+		Incarnation: newRandom().Uint64(),
+		Zone:        cfg.Node.Zone,
+		Zones:       cfg.Node.Zones,
+		Wall:        time.Now(),
 	})
 	go func() {
 		defer close(l.stopped)
--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -20,8 +20,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/amaranthwell/amaranthwell/caller"
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 // version is the program's version; the linker may set it.
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -54,6 +54,9 @@
 	// wokeAfter is the time between two events after which the process is
 	// taken to have stood still.
 	wokeAfter = 700 * time.Millisecond
+	// probeEvery is the time between questions to the workers of a zone
+	// without live instances.
+	probeEvery = 300 * time.Millisecond
 	// tablesAfter is for how long a peer's configuration may be behind before
 	// it is sent a newer one, and again after each further such time.
 	tablesAfter = 300 * time.Millisecond
@@ -66,6 +69,8 @@
 	// runsPerRound is the number of runs of a task that one leader may order
 	// before the numbers of the next leader's runs begin.
 	runsPerRound = 64
+	// probesPerZone is the number of workers that are asked.
+	probesPerZone = 3
 	// maxJobs bounds the jobs of a leader, and of a receiver.
 	maxJobs = 4096
 )
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,13 +31,13 @@
 	// usually needs, in thousandths of a core.
 	topSpeed   float64
 	typicalCPU float64
-	// heard tells when an instance was last heard.
-	heard   func(netip.AddrPort) time.Time
-	effects *Effects
+	effects    *Effects
 	// settled receives the ends of jobs, for their receivers.
 	settle func(now time.Time, to netip.AddrPort, end End)
 	// fenced is told of a zone whose workers have served a later leader.
 	fenced func(now time.Time, zone string)
+	// forgot is told of a worker that was dropped.
+	forgot func(id string)
 	looks  uint64
 }
 
@@ -152,6 +152,7 @@
 		return
 	}
 	delete(d.workers, w.ID)
+	d.forgot(w.ID)
 	if i := slices.Index(d.order, w); i >= 0 {
 		d.order = slices.Delete(d.order, i, i+1)
 	}
--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -51,7 +51,8 @@
 // A Look asks a worker what runs and what has ended.
 type Look struct {
 	Order
-	// Number is to be handed back with the answer.
+	// Number tells looks apart. It is 0 for one that only asks whether the
+	// worker can be reached.
 	Number uint64
 	// Acknowledged is the last end that the worker may forget.
 	Acknowledged int64
@@ -59,6 +60,8 @@
 	Wait time.Duration
 	// Anew asks for a fresh connection.
 	Anew bool
+	// zone is the one that a Look with Number 0 asks about.
+	zone string
 }
 
 // A Start orders a worker to run a task.
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -38,6 +38,7 @@
 // LinkReset says that envelopes to the peer at addr may have been lost.
 func (i *Instance) LinkReset(now time.Time, addr netip.AddrPort) {
 	i.advance(now)
+	i.peer(addr).revision = 0
 	i.receiver.linkReset(now, addr)
 	if i.dispatcher.leading() {
 		i.dispatcher.resend(now, addr)
@@ -47,11 +48,16 @@
 // receiveBeat takes a peer's view, and answers with what the peer lacks.
 func (i *Instance) receiveBeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	p := i.peer(from)
+	if p.incarnation != env.Incarnation {
+		*p = peerState{incarnation: env.Incarnation}
+	}
 	p.version = env.Beat.Version
 	if env.Beat.WorkersRevision < p.revision || env.Beat.Reply {
 		p.revision = env.Beat.WorkersRevision
 	}
+	p.table = env.Beat.TableRevision
 	reply := i.leadership.Receive(now, from, env.Zone, env.Leaving, env.Beat)
+	i.leadership.Outdated(from, len(env.Beat.Leads) > 0 && p.given < p.table)
 	i.followTerms(now)
 	if reply != nil {
 		i.sendBeat(now, from, reply)
@@ -94,10 +100,11 @@
 // leads.
 func (i *Instance) sendBeat(now time.Time, to netip.AddrPort, beat *peer.Beat) {
 	beat.Version = i.version
+	beat.WorkersRevision = i.peer(to).given
+	beat.TableRevision = i.table.revision
 	env := i.envelope(to)
 	env.Beat = beat
 	if !i.leadership.Leading() {
-		beat.WorkersRevision = i.peer(to).given
 		return
 	}
 	p := i.peer(to)
@@ -114,7 +121,8 @@
 func (i *Instance) receiveWorker(now time.Time, from netip.AddrPort, w *peer.Worker) {
 	p := i.peer(from)
 	p.given = max(p.given, w.Revision)
-	if i.leadership.Leading() {
+	i.leadership.Outdated(from, p.given < p.table)
+	if _, leads := i.leadership.Leads(w.Zone); leads || i.leadership.Leading() && !i.leads(now, from, w.Zone) {
 		return
 	}
 	if w.Gone {
@@ -126,11 +134,19 @@
 	}
 }
 
+// leads reports whether addr is the leader of zone.
+func (i *Instance) leads(now time.Time, addr netip.AddrPort, zone string) bool {
+	claim, fresh := i.leadership.Claim(now, zone)
+	return fresh && claim.Leader == addr
+}
+
 // envelope returns the envelope that is being filled for addr.
 func (i *Instance) envelope(addr netip.AddrPort) *peer.Envelope {
 	env := i.outbox[addr]
 	if env == nil {
-		env = &peer.Envelope{From: i.cfg.Self.String(), Zone: i.cfg.Zone, Leaving: i.leaving}
+		env = &peer.Envelope{
+			From: i.cfg.Self.String(), Incarnation: i.cfg.Incarnation, Zone: i.cfg.Zone, Leaving: i.leaving,
+		}
 		i.outbox[addr] = env
 	}
 	return env
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -16,6 +16,8 @@
 	// Zone is its availability zone, and Zones are all of them.
 	Zone  string
 	Zones []string
+	// Incarnation tells this process from its predecessors.
+	Incarnation uint64
 	// Wall is the time of day at the start.
 	Wall time.Time
 }
@@ -37,6 +39,7 @@
 	version uint64
 	peers   map[netip.AddrPort]*peerState
 	last    time.Time
+	probed  time.Time
 	leaving bool
 }
 
@@ -46,6 +49,9 @@
 	// behindSince is when the peer was first seen with an older
 	// configuration, or zero.
 	behindSince time.Time
+	incarnation uint64
+	// table is the newest revision of the peer's worker table.
+	table uint64
 	// given is how far this instance has the peer's worker table.
 	given uint64
 	// revision is how far the peer has this instance's worker table.
@@ -69,6 +75,7 @@
 	i.dispatcher.effects = &i.effects
 	i.dispatcher.settle = i.settle
 	i.dispatcher.fenced = i.fenced
+	i.dispatcher.forgot = func(id string) { i.table.remove(id) }
 	return i
 }
 
@@ -156,10 +163,23 @@
 // RemoveWorker notes that a worker is no longer listed.
 func (i *Instance) RemoveWorker(now time.Time, id string) {
 	i.advance(now)
-	if i.table.remove(id) {
-		i.decide("worker-unlisted", id)
+	w := i.dispatcher.workers[id]
+	if w != nil && w.missing.IsZero() {
+		i.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs))
 	}
 	i.dispatcher.missWorker(now, id)
+	if w != nil {
+		if _, leads := i.leadership.Leads(w.Zone); leads {
+			// Its entry lasts until nothing can run there any more.
+			return
+		}
+	}
+	if i.table.remove(id) {
+		// Another leader may still have it: it is to say so again.
+		for _, p := range i.peers {
+			p.given = 0
+		}
+	}
 }
 
 // Leading reports whether this instance leads an availability zone, and so has
@@ -208,6 +228,12 @@
 // LookDone takes in a worker's answer to l.
 func (i *Instance) LookDone(now time.Time, l Look, report Report, outcome Outcome) {
 	i.advance(now)
+	if l.Number == 0 {
+		if outcome != Unclear && outcome != NotSent {
+			i.leadership.Reached(now, l.zone)
+		}
+		return
+	}
 	i.dispatcher.lookDone(now, l, report, outcome)
 }
 
@@ -219,6 +245,7 @@
 	}
 	i.followTerms(now)
 	i.receiver.tick(now)
+	i.probeOrphans(now)
 	i.dispatcher.tick(now, i.leadership)
 }
 
@@ -253,6 +280,28 @@
 	i.receiver.follow(now)
 }
 
+// probeOrphans asks a worker of each zone without live instances whether it can
+// be reached. The question carries the term of the last known leader, which
+// takes nothing from it.
+func (i *Instance) probeOrphans(now time.Time) {
+	if now.Sub(i.probed) < probeEvery {
+		return
+	}
+	i.probed = now
+	for _, zone := range i.leadership.Orphans(now) {
+		claim, _ := i.leadership.Claim(now, zone)
+		probes := 0
+		for _, w := range i.dispatcher.order {
+			if w.Zone != zone || probes == probesPerZone {
+				continue
+			}
+			probes++
+			order := Order{Worker: w.ID, Address: w.Address, Term: claim.Term, Decided: now}
+			i.effects.Looks = append(i.effects.Looks, Look{Order: order, zone: zone})
+		}
+	}
+}
+
 // fenced gives up a zone whose workers have served a later leader.
 func (i *Instance) fenced(now time.Time, zone string) {
 	i.decide("fenced", zone, "term", i.dispatcher.terms[zone])
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -166,12 +166,19 @@
 	if o == nil {
 		return
 	}
-	if end.State == GiveAgain {
-		if from == r.leader.Leader {
+	current := from == r.leader.Leader
+	switch {
+	case end.State == GiveAgain:
+		if current {
 			o.given = false
 			r.give(now, o)
 		}
 		return
+	case !current && end.State != Completed:
+		// A former leader let go of the job: the present one has it.
+		return
+	case !current:
+		r.withdraw(now, end.ID)
 	}
 	delete(r.open, end.ID)
 	for _, caller := range o.callers {
--- /dev/null
+++ b/dispatch/world_test.go
@@ -0,0 +1,480 @@
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+)
+
+// The size of the world, and times that its outside keeps.
+const (
+	nodesPerZone   = 2
+	workersPerZone = 4
+	slotsPerWorker = 3
+	taskCPU        = 5000
+	workerTime     = 250 * time.Millisecond
+	resendAfter    = 1300 * time.Millisecond
+	worldTick      = 20 * time.Millisecond
+	lostLinkAfter  = 300 * time.Millisecond
+)
+
+var (
+	worldStart = time.Unix(1_800_000_000, 0)
+	worldZones = []string{"hr-north-a", "hr-north-b", "hr-north-c"}
+)
+
+// happening is something that happens at a time.
+type happening struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type happenings []happening
+
+func (h happenings) Len() int { return len(h) }
+func (h happenings) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push and Pop are those of heap.Interface.
+func (h *happenings) Push(x any) { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// A world runs instances, fake workers, callers and the network between them on
+// a clock of its own, so that a seed replays exactly.
+type world struct {
+	now     time.Time
+	random  *rand.Rand
+	queue   happenings
+	order   int
+	nodes   []*worldNode
+	workers []*fakeWorker
+	// cut says whether what from sends to to is lost. Both are names.
+	cut map[[2]string]bool
+	// lateOrders and lostAnswers are shares of the orders to workers.
+	lateOrders, lostAnswers float64
+	jobs                    map[string]*worldJob
+	nextJob                 int
+	violations              []string
+}
+
+// worldJob is a job as its caller knows it.
+type worldJob struct {
+	id       string
+	tasks    int
+	zone     int
+	tries    int
+	answered []dispatch.State
+	started  bool
+	end      dispatch.State
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		now:    worldStart,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		cut:    make(map[[2]string]bool),
+		jobs:   make(map[string]*worldJob),
+	}
+	for z, zone := range worldZones {
+		for n := range workersPerZone {
+			f := &fakeWorker{world: w, entry: dispatch.Worker{
+				ID:      fmt.Sprintf("w-%d-%d", z, n),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 1, byte(n)}), 80),
+				Pool:    "editor",
+				Zone:    zone,
+				Size:    dispatch.Room{Millicores: slotsPerWorker * taskCPU, Memory: 1000},
+			}}
+			f.restart()
+			w.workers = append(w.workers, f)
+		}
+	}
+	for z := range worldZones {
+		for n := range nodesPerZone {
+			node := &worldNode{world: w, zone: z, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(n)}), 70)}
+			w.nodes = append(w.nodes, node)
+			node.start()
+		}
+	}
+	return w
+}
+
+// at makes do happen at a time.
+func (w *world) at(t time.Time, do func()) {
+	w.order++
+	heap.Push(&w.queue, happening{at: t, order: w.order, do: do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now.Add(d), do) }
+
+// run lets the world go on for d.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(happening)
+		if next.at.After(w.now) {
+			w.now = next.at
+		}
+		next.do()
+	}
+	w.now = end
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.violations = append(w.violations, fmt.Sprintf("%v: ", w.now.Sub(worldStart))+fmt.Sprintf(format, args...))
+}
+
+// judgeStart checks what must hold of a start.
+func (w *world) judgeStart(on *fakeWorker, s dispatch.Start) {
+	for _, other := range w.workers {
+		if other.down {
+			continue
+		}
+		other.settle()
+		if r := other.runs[s.Task]; r != nil {
+			w.violate("%v run %d starts on %s while run %d is at work on %s", s.Task, s.Number, on.entry.ID, r.number, other.entry.ID)
+		}
+	}
+	if j := w.jobs[s.Task.Job]; j != nil {
+		j.started = true
+	}
+}
+
+func (w *world) runTime() time.Duration {
+	return time.Duration(50+w.random.IntN(900)) * time.Millisecond
+}
+
+// transit returns how long a message takes, and whether it arrives.
+func (w *world) transit(from, to string) (time.Duration, bool) {
+	return time.Duration(200+w.random.IntN(1500)) * time.Microsecond, !w.cut[[2]string{from, to}]
+}
+
+// submit hands in a new job at some instance of a zone.
+func (w *world) submit(zone int) *worldJob {
+	w.nextJob++
+	j := &worldJob{id: fmt.Sprintf("%016x", w.nextJob), tasks: 1 + w.random.IntN(5), zone: zone}
+	w.jobs[j.id] = j
+	w.try(j)
+	return j
+}
+
+// try hands a job in at a live instance of its zone.
+func (w *world) try(j *worldJob) {
+	j.tries++
+	var live []*worldNode
+	for _, n := range w.nodes {
+		if n.zone == j.zone && n.instance != nil {
+			live = append(live, n)
+		}
+	}
+	if len(live) == 0 {
+		w.resend(j)
+		return
+	}
+	live[w.random.IntN(len(live))].submit(j)
+}
+
+// resend hands a job in again, as a caller does that got no answer.
+func (w *world) resend(j *worldJob) {
+	if j.tries < 4 && j.end == 0 {
+		w.after(resendAfter, func() { w.try(j) })
+	}
+}
+
+// judgeRefusals checks that no job ran of which all answers said that it had
+// not.
+func (w *world) judgeRefusals() {
+	for _, j := range w.jobs {
+		refused := !slices.ContainsFunc(j.answered, func(s dispatch.State) bool { return s != dispatch.NotRun })
+		if j.started && len(j.answered) == j.tries && len(j.answered) > 0 && refused {
+			w.violate("job %s has run, and was said not to have", j.id)
+		}
+	}
+}
+
+// worldNode is a machine with an instance on it.
+type worldNode struct {
+	world    *world
+	zone     int
+	address  netip.AddrPort
+	life     int
+	instance *dispatch.Instance
+	frozen   bool
+	held     []func()
+	callers  map[dispatch.CallerID]*worldJob
+	next     dispatch.CallerID
+	// lossy are the peers to which an envelope was lost.
+	lossy map[netip.AddrPort]bool
+}
+
+func (n *worldNode) name() string { return n.address.String() }
+
+// start begins a new life.
+func (n *worldNode) start() {
+	n.life++
+	n.frozen, n.held = false, nil
+	n.callers = make(map[dispatch.CallerID]*worldJob)
+	n.lossy = make(map[netip.AddrPort]bool)
+	n.instance = dispatch.NewInstance(n.world.now, dispatch.Config{
+		Self:        n.address,
+		Zone:        worldZones[n.zone],
+		Zones:       worldZones,
+		Incarnation: uint64(n.life),
+		Wall:        n.world.now,
+	})
+	for _, other := range n.world.nodes {
+		n.instance.AddMember(n.world.now, other.address, worldZones[other.zone])
+	}
+	n.listWorkers()
+	n.tick(n.life)
+}
+
+// listWorkers gives the instance the worker table of the store.
+func (n *worldNode) listWorkers() {
+	var table []dispatch.Worker
+	for _, w := range n.world.workers {
+		if !w.down {
+			table = append(table, w.entry)
+		}
+	}
+	n.instance.SetWorkers(n.world.now, table)
+}
+
+func (n *worldNode) tick(life int) {
+	n.do(life, func() {
+		n.instance.Tick(n.world.now)
+		if n.instance.Leading() && n.world.random.IntN(40) == 0 {
+			n.listWorkers()
+		}
+	})
+	if n.life == life && n.instance != nil {
+		n.world.after(worldTick, func() { n.tick(life) })
+	}
+}
+
+// do lets the instance take an event, if it still lives, once it is not frozen.
+func (n *worldNode) do(life int, event func()) {
+	switch {
+	case n.life != life || n.instance == nil:
+	case n.frozen:
+		n.held = append(n.held, func() { n.do(life, event) })
+	default:
+		event()
+		n.act(n.instance.Take(n.world.now))
+	}
+}
+
+// kill ends the process. Its callers see their connections break.
+func (n *worldNode) kill() {
+	n.instance = nil
+	for _, j := range n.callers {
+		n.world.resend(j)
+	}
+	n.callers = nil
+}
+
+// thaw lets a frozen instance go on.
+func (n *worldNode) thaw() {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, event := range held {
+		event()
+	}
+}
+
+func (n *worldNode) submit(j *worldJob) {
+	n.next++
+	caller := n.next
+	n.callers[caller] = j
+	n.do(n.life, func() {
+		now := n.world.now
+		n.instance.Submit(now, caller, dispatch.Job{
+			ID: j.id, Route: "previews", Pool: "editor", MaxAttempts: 3, Stretch: 4, Slack: time.Second,
+			Steps: []dispatch.Step{{
+				Tasks: j.tasks, Needs: dispatch.Room{Millicores: taskCPU, Memory: 10}, Estimate: 400 * time.Millisecond,
+			}},
+			Arrived: now, Patience: now.Add(3 * time.Second),
+		})
+	})
+}
+
+// act does what the instance wants done.
+func (n *worldNode) act(e dispatch.Effects) {
+	life := n.life
+	for _, s := range e.Starts {
+		n.order(life, s.Order, func(w *fakeWorker) dispatch.Outcome { return w.start(s) },
+			func(o dispatch.Outcome, clock time.Duration) { n.instance.StartDone(n.world.now, s, o, clock) })
+	}
+	for _, s := range e.Stops {
+		n.order(life, s.Order, func(w *fakeWorker) dispatch.Outcome { return w.stop(s) },
+			func(o dispatch.Outcome, clock time.Duration) { n.instance.StopDone(n.world.now, s, o, clock) })
+	}
+	for _, l := range e.Looks {
+		n.look(life, l)
+	}
+	for _, s := range e.Sends {
+		n.send(s)
+	}
+	for _, end := range e.Ends {
+		n.answer(end)
+	}
+}
+
+func (n *worldNode) answer(end dispatch.CallerEnd) {
+	j := n.callers[end.Caller]
+	delete(n.callers, end.Caller)
+	if j == nil {
+		return
+	}
+	j.answered = append(j.answered, end.End.State)
+	if end.End.State == dispatch.Overdue {
+		n.world.resend(j)
+		return
+	}
+	j.end = end.End.State
+}
+
+// send carries an envelope to a peer, in order.
+func (n *worldNode) send(s dispatch.Send) {
+	to := n.world.node(s.To)
+	delay, arrives := n.world.transit(n.name(), to.name())
+	if !arrives || to.instance == nil {
+		n.lossy[s.To] = true
+		return
+	}
+	if n.lossy[s.To] {
+		delete(n.lossy, s.To)
+		life := n.life
+		n.world.after(lostLinkAfter, func() {
+			n.do(life, func() { n.instance.LinkReset(n.world.now, s.To) })
+		})
+	}
+	from, life := n.address, to.life
+	env := s.Envelope
+	n.world.after(delay, func() {
+		to.do(life, func() { to.instance.Receive(n.world.now, from, env) })
+	})
+}
+
+func (w *world) node(address netip.AddrPort) *worldNode {
+	for _, n := range w.nodes {
+		if n.address == address {
+			return n
+		}
+	}
+	panic("no such instance: " + address.String())
+}
+
+func (w *world) worker(id string) *fakeWorker {
+	for _, f := range w.workers {
+		if f.entry.ID == id {
+			return f
+		}
+	}
+	panic("no such worker: " + id)
+}
+
+// order carries an order to a worker and its answer back.
+func (n *worldNode) order(life int, o dispatch.Order, carry func(*fakeWorker) dispatch.Outcome, done func(dispatch.Outcome, time.Duration)) {
+	w := n.world
+	f := w.worker(o.Worker)
+	finish := func(outcome dispatch.Outcome, clock time.Duration) {
+		n.do(life, func() { done(outcome, clock) })
+	}
+	unclear := func() { w.after(workerTime, func() { finish(dispatch.Unclear, 0) }) }
+	delay, arrives := w.transit(n.name(), f.entry.ID)
+	if !arrives || f.down {
+		unclear()
+		return
+	}
+	if w.random.Float64() < w.lateOrders {
+		unclear()
+		w.after(time.Duration(w.random.IntN(12_000))*time.Millisecond, func() {
+			if !f.down {
+				carry(f)
+			}
+		})
+		return
+	}
+	w.after(delay, func() {
+		if f.down {
+			unclear()
+			return
+		}
+		outcome, clock := carry(f), f.clock().Truncate(time.Millisecond)
+		back, arrives := w.transit(f.entry.ID, n.name())
+		if !arrives || w.random.Float64() < w.lostAnswers {
+			unclear()
+			return
+		}
+		w.after(back, func() { finish(outcome, clock) })
+	})
+}
+
+// look carries a look to a worker, which waits for an end.
+func (n *worldNode) look(life int, l dispatch.Look) {
+	w := n.world
+	f := w.worker(l.Worker)
+	finish := func(report dispatch.Report, outcome dispatch.Outcome) {
+		n.do(life, func() { n.instance.LookDone(w.now, l, report, outcome) })
+	}
+	unclear := func() { w.after(workerTime+l.Wait, func() { finish(dispatch.Report{}, dispatch.Unclear) }) }
+	delay, arrives := w.transit(n.name(), f.entry.ID)
+	if !arrives || f.down {
+		unclear()
+		return
+	}
+	w.after(delay, func() {
+		if f.down {
+			unclear()
+			return
+		}
+		outcome := f.look(l)
+		answered := false
+		answer := func() {
+			if answered {
+				return
+			}
+			answered = true
+			report := f.report()
+			back, arrives := w.transit(f.entry.ID, n.name())
+			if !arrives || f.down {
+				unclear()
+				return
+			}
+			w.after(back, func() { finish(report, outcome) })
+		}
+		if outcome != dispatch.Accepted || l.Wait == 0 || len(f.ends) > 0 {
+			answer()
+			return
+		}
+		f.waiting = append(f.waiting, func() { w.after(0, answer) })
+		w.after(l.Wait, answer)
+	})
+}
+
+// leader returns the instance that leads a zone by its own belief, or nil.
+func (w *world) leaders() int {
+	leaders := 0
+	for _, n := range w.nodes {
+		if n.instance != nil && n.instance.Leading() {
+			leaders++
+		}
+	}
+	return leaders
+}
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -89,6 +89,9 @@
 	lostTerm uint64
 	// ahead is how far terms run ahead of the time of day.
 	ahead time.Duration
+	// reached is when the workers of a zone without live instances last
+	// answered this instance.
+	reached map[string]time.Time
 	// listedAt is when the members were last listed in a beat.
 	listedAt time.Time
 	// silentSince is when this instance began to seek a leader of its zone.
@@ -109,6 +112,9 @@
 	// hears are the zones whose leaders it hears, by the time of its beat.
 	hears   map[string]uint64
 	leaving bool
+	// outdated says that the instance has entries of the worker table that
+	// this one lacks.
+	outdated bool
 }
 
 // NewLeadership returns a Leadership that knows no other instance.
@@ -118,6 +124,7 @@
 		start:       now,
 		claims:      make(map[string]Claim),
 		members:     make(map[netip.AddrPort]*standing),
+		reached:     make(map[string]time.Time),
 		silentSince: now,
 	}
 	return l
@@ -377,7 +384,8 @@
 		if ok && c.Leader == l.cfg.Self {
 			continue
 		}
-		if l.orphan(now, zone, c) || l.yields(now, c, led) {
+		orphan := l.orphan(now, zone, c) && now.Sub(l.reached[zone]) < orphaned
+		if orphan || l.yields(now, c, led) {
 			l.claim(now, zone)
 			claimed = true
 		}
@@ -394,6 +402,33 @@
 	return led
 }
 
+// Orphans returns the zones without a leader or a live instance. They are taken
+// over once their workers are found to answer: the zone may be cut off, and
+// have a leader on its side.
+func (l *Leadership) Orphans(now time.Time) []string {
+	if !l.Leading() || l.leaving {
+		return nil
+	}
+	var zones []string
+	for _, zone := range l.cfg.Zones {
+		if c := l.claims[zone]; c.Leader != l.cfg.Self && l.orphan(now, zone, c) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// Outdated notes whether the instance at addr has entries of the worker table
+// that this one lacks. Its zones are not taken over meanwhile.
+func (l *Leadership) Outdated(addr netip.AddrPort, is bool) {
+	if m := l.members[addr]; m != nil {
+		m.outdated = is
+	}
+}
+
+// Reached notes that a worker of zone has answered this instance.
+func (l *Leadership) Reached(now time.Time, zone string) { l.reached[zone] = now }
+
 // orphan reports whether zone has neither a leader nor a live instance.
 func (l *Leadership) orphan(now time.Time, zone string, c Claim) bool {
 	if now.Sub(l.start) < orphaned+pollFor || (!c.Heard.IsZero() && now.Sub(c.Heard) < orphaned) {
@@ -410,7 +445,7 @@
 // yields reports whether the leader of c is live and comes after this one.
 func (l *Leadership) yields(now time.Time, c Claim, led map[netip.AddrPort]int) bool {
 	m := l.members[c.Leader]
-	if m == nil || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
+	if m == nil || m.outdated || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
 		return false
 	}
 	order := cmp.Compare(led[c.Leader], led[l.cfg.Self])
