dispatch: hand jobs over with their zone; count every run of a task

Change: jobs are let go with their zone; runs are counted a worker; unanswered starts are stopped in a worker's next life; who hears nobody, or finds a zone without instances, asks its workers whether they have tasks or a later leader before it claims.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -54,8 +54,8 @@
 	// wokeAfter is the time between two events after which the process is
 	// taken to have stood still.
 	wokeAfter = 700 * time.Millisecond
-	// probeEvery is the time between questions to the workers of a zone
-	// without live instances.
+	// probeEvery is the time between questions to the workers of a zone that
+	// may have lost its leader.
 	probeEvery = 300 * time.Millisecond
 	// tablesAfter is for how long a peer's configuration may be behind before
 	// it is sent a newer one, and again after each further such time.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -25,7 +26,10 @@
 	ends    map[string]*keptEnd
 	// running finds the worker on which a task may be at work, whether a job
 	// of this leader wants it or not. No task is started that is in it.
-	running   map[TaskID]*worker
+	running map[TaskID]*worker
+	// doubles are the further workers on which a task may be at work, after
+	// another leader had started it.
+	doubles   map[TaskID][]*worker
 	estimates estimates
 	// topSpeed is the speed of a fast worker, and typicalCPU what a task
 	// usually needs, in thousandths of a core.
@@ -36,6 +40,8 @@
 	settle func(now time.Time, to netip.AddrPort, end End)
 	// fenced is told of a zone whose workers have served a later leader.
 	fenced func(now time.Time, zone string)
+	// zoneOf tells an instance's availability zone.
+	zoneOf func(netip.AddrPort) string
 	// forgot is told of a worker that was dropped.
 	forgot func(id string)
 	looks  uint64
@@ -57,6 +63,7 @@
 		jobs:      make(map[string]*activeJob),
 		ends:      make(map[string]*keptEnd),
 		running:   make(map[TaskID]*worker),
+		doubles:   make(map[TaskID][]*worker),
 		estimates: make(estimates),
 		topSpeed:  1,
 	}
@@ -92,6 +99,7 @@
 		d.reset()
 		return
 	}
+	d.handOver(now, zone)
 	for _, w := range d.order {
 		if w.Zone != zone {
 			continue
@@ -103,12 +111,26 @@
 	}
 }
 
+// handOver lets go of the jobs that instances of zone gave: they give them to
+// the zone's next leader.
+func (d *dispatcher) handOver(now time.Time, zone string) {
+	for _, id := range d.jobIDs() {
+		j := d.jobs[id]
+		for _, addr := range slices.SortedFunc(maps.Keys(j.receivers), netip.AddrPort.Compare) {
+			if d.zoneOf(addr) == zone {
+				d.withdraw(now, addr, id)
+			}
+		}
+	}
+}
+
 // reset forgets all jobs and runs: nothing may be ordered any more.
 func (d *dispatcher) reset() {
 	d.jobs = make(map[string]*activeJob)
 	d.queue = queue{}
 	d.ends = make(map[string]*keptEnd)
 	d.running = make(map[TaskID]*worker)
+	d.doubles = make(map[TaskID][]*worker)
 	for i, w := range d.order {
 		fresh := newWorker(w.Worker)
 		fresh.speed = w.speed
@@ -171,6 +193,10 @@
 
 // give takes a job from the instance that received it.
 func (d *dispatcher) give(now time.Time, from netip.AddrPort, job Job) {
+	if _, led := d.terms[d.zoneOf(from)]; !led {
+		d.decide("job-not-taken", job.ID, "from", from, "zone", d.zoneOf(from))
+		return
+	}
 	if kept := d.ends[job.ID]; kept != nil {
 		kept.receivers = append(kept.receivers, from)
 		d.settle(now, from, kept.end)
@@ -186,6 +212,7 @@
 	}
 	j.receivers[from] = struct{}{}
 	j.Patience = later(j.Patience, job.Patience)
+	j.rejoin(job)
 	if !j.suspendedAt.IsZero() {
 		j.suspendedAt, j.askedAt = time.Time{}, time.Time{}
 		d.decide("job-resumed", j.ID, "receiver", from)
@@ -230,7 +257,7 @@
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if w := d.running[t.id]; w != nil {
-				d.adopt(now, w, t)
+				d.adopt(w, t)
 			}
 		}
 	}
@@ -244,7 +271,7 @@
 }
 
 // adopt gives the run of t on w to t, or stops it if t has another.
-func (d *dispatcher) adopt(now time.Time, w *worker, t *task) {
+func (d *dispatcher) adopt(w *worker, t *task) {
 	r := w.runs[t.id]
 	if r == nil || r.state == runStopping {
 		return
@@ -334,7 +361,8 @@
 
 // resend tells a receiver again how its jobs have ended.
 func (d *dispatcher) resend(now time.Time, to netip.AddrPort) {
-	for _, kept := range d.ends {
+	for _, id := range slices.Sorted(maps.Keys(d.ends)) {
+		kept := d.ends[id]
 		if slices.Contains(kept.receivers, to) {
 			d.settle(now, to, kept.end)
 		}
--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -51,8 +51,8 @@
 // A Look asks a worker what runs and what has ended.
 type Look struct {
 	Order
-	// Number tells looks apart. It is 0 for one that only asks whether the
-	// worker can be reached.
+	// Number tells looks apart. It is 0 for one that only asks whether a
+	// leader is at work there.
 	Number uint64
 	// Acknowledged is the last end that the worker may forget.
 	Acknowledged int64
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -60,7 +60,7 @@
 	i.leadership.Outdated(from, len(env.Beat.Leads) > 0 && p.given < p.table)
 	i.followTerms(now)
 	if reply != nil {
-		i.sendBeat(now, from, reply)
+		i.sendBeat(from, reply)
 	}
 	i.shareTables(now, from, p)
 }
@@ -90,7 +90,7 @@
 // broadcast sends a beat to all known instances.
 func (i *Instance) broadcast(now time.Time, beat *peer.Beat) {
 	for _, addr := range i.leadership.Members() {
-		i.sendBeat(now, addr, &peer.Beat{
+		i.sendBeat(addr, &peer.Beat{
 			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Members: beat.Members,
 		})
 	}
@@ -98,7 +98,7 @@
 
 // sendBeat sends a beat, with the changes of the worker table if this instance
 // leads.
-func (i *Instance) sendBeat(now time.Time, to netip.AddrPort, beat *peer.Beat) {
+func (i *Instance) sendBeat(to netip.AddrPort, beat *peer.Beat) {
 	beat.Version = i.version
 	beat.WorkersRevision = i.peer(to).given
 	beat.TableRevision = i.table.revision
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -75,6 +75,7 @@
 	i.dispatcher.effects = &i.effects
 	i.dispatcher.settle = i.settle
 	i.dispatcher.fenced = i.fenced
+	i.dispatcher.zoneOf = i.leadership.Zone
 	i.dispatcher.forgot = func(id string) { i.table.remove(id) }
 	return i
 }
@@ -229,8 +230,8 @@
 func (i *Instance) LookDone(now time.Time, l Look, report Report, outcome Outcome) {
 	i.advance(now)
 	if l.Number == 0 {
-		if outcome != Unclear && outcome != NotSent {
-			i.leadership.Reached(now, l.zone)
+		if outcome == Accepted || outcome == Fenced {
+			i.leadership.Found(now, l.zone, outcome == Fenced || len(report.Running) > 0)
 		}
 		return
 	}
@@ -245,7 +246,7 @@
 	}
 	i.followTerms(now)
 	i.receiver.tick(now)
-	i.probeOrphans(now)
+	i.probe(now)
 	i.dispatcher.tick(now, i.leadership)
 }
 
@@ -280,15 +281,15 @@
 	i.receiver.follow(now)
 }
 
-// probeOrphans asks a worker of each zone without live instances whether it can
-// be reached. The question carries the term of the last known leader, which
+// probe asks workers of the zones that may have lost their leader whether
+// somebody else gives them tasks. The question carries the term of the last known leader, which
 // takes nothing from it.
-func (i *Instance) probeOrphans(now time.Time) {
+func (i *Instance) probe(now time.Time) {
 	if now.Sub(i.probed) < probeEvery {
 		return
 	}
 	i.probed = now
-	for _, zone := range i.leadership.Orphans(now) {
+	for _, zone := range i.leadership.Doubtful(now) {
 		claim, _ := i.leadership.Claim(now, zone)
 		probes := 0
 		for _, w := range i.dispatcher.order {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -219,6 +219,20 @@
 	return a
 }
 
+// rejoin takes in that the job is given again, perhaps after another leader had
+// it: runs of that leader may still be at work, with numbers of their own.
+func (j *activeJob) rejoin(again Job) {
+	if again.Round == 0 || !again.Settled.After(j.Settled) {
+		return
+	}
+	j.Round, j.Settled = max(j.Round+1, again.Round), again.Settled
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			t.number = max(t.number, j.Round*runsPerRound)
+		}
+	}
+}
+
 // unblock lets the tasks wait whose earlier steps have all ended.
 func (j *activeJob) unblock() {
 	for s, step := range j.Steps {
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -110,7 +110,7 @@
 // report takes in what w says of its runs.
 func (d *dispatcher) report(now time.Time, w *worker, l Look, rep Report) {
 	if w.born != 0 && rep.Born != w.born {
-		d.voidAll(now, w, "reborn")
+		d.reborn(now, w)
 		w.processed, w.unclaimed, w.clockAt, w.leaseEnd = 0, nil, time.Time{}, 0
 	}
 	w.born = rep.Born
@@ -182,15 +182,14 @@
 // found takes in a run that this leader did not order, or not with that number.
 func (d *dispatcher) found(now time.Time, w *worker, p RunningTask) {
 	if known := w.runs[p.Task]; known != nil {
-		// The worker runs another number than was ordered: it ends first.
-		d.effects.Stops = append(d.effects.Stops, Stop{Order: d.orderTo(now, w, false), Task: p.Task, Number: p.Number})
+		d.renumber(now, w, known, p)
 		return
 	}
 	r := &run{id: p.Task, number: p.Number, foreign: true, since: now, movedAt: now, percent: p.Percent, state: runStarted}
 	if other := d.running[p.Task]; other != nil {
 		// The task may be at work on another worker, too: both runs end.
 		d.stopTask(now, other, p.Task)
-		w.add(r)
+		d.addRun(w, r)
 		d.stop(now, w, r)
 		return
 	}
@@ -199,7 +198,19 @@
 	if j == nil || p.Task.Step >= len(j.steps) || p.Task.Index >= len(j.steps[p.Task.Step]) {
 		return
 	}
-	d.adopt(now, w, j.steps[p.Task.Step][p.Task.Index])
+	d.adopt(w, j.steps[p.Task.Step][p.Task.Index])
+}
+
+// renumber takes in that a worker runs another number of a task than is known:
+// another leader has started it since, or a late order was carried out. It ends
+// before the task is started anew.
+func (d *dispatcher) renumber(now time.Time, w *worker, known *run, p RunningTask) {
+	if p.Number > known.number {
+		known.number = p.Number
+		d.stop(now, w, known)
+		return
+	}
+	d.effects.Stops = append(d.effects.Stops, Stop{Order: d.orderTo(now, w, false), Task: p.Task, Number: p.Number})
 }
 
 // stopTask stops the run of a task on w, unless that is under way.
@@ -267,6 +278,18 @@
 	}
 }
 
+// reborn takes in that w is in another life. Its runs have ended, but an order
+// that was not answered may still reach the new life.
+func (d *dispatcher) reborn(now time.Time, w *worker) {
+	for _, r := range w.sorted() {
+		if r.unsure || r.state == runSent {
+			d.stop(now, w, r)
+			continue
+		}
+		d.void(now, w, r, "reborn")
+	}
+}
+
 // watch moves what depends on the time on all workers.
 func (d *dispatcher) watch(now time.Time) {
 	for _, w := range append([]*worker(nil), d.order...) {
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -121,7 +121,7 @@
 	for _, id := range r.ids() {
 		o := r.open[id]
 		if o.begun {
-			r.takeBack(former, id)
+			r.takeBack(now, former, id)
 			o.job.Round++
 			o.job.Settled = settled
 		}
@@ -131,8 +131,12 @@
 }
 
 // takeBack tells a former leader that another one has the job now.
-func (r *receiver) takeBack(former netip.AddrPort, id string) {
-	if !former.IsValid() || former == r.instance.cfg.Self || former == r.leader.Leader {
+func (r *receiver) takeBack(now time.Time, former netip.AddrPort, id string) {
+	switch former {
+	case netip.AddrPort{}, r.leader.Leader:
+		return
+	case r.instance.cfg.Self:
+		r.instance.dispatcher.withdraw(now, former, id)
 		return
 	}
 	env := r.instance.envelope(former)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // order returns what each order to w carries at now, with a lease if lease is
 // set.
@@ -16,14 +19,27 @@
 // addRun notes a run on w.
 func (d *dispatcher) addRun(w *worker, r *run) {
 	w.add(r)
+	if d.running[r.id] != nil {
+		d.doubles[r.id] = append(d.doubles[r.id], w)
+		return
+	}
 	d.running[r.id] = w
 }
 
 // removeRun forgets a run on w.
 func (d *dispatcher) removeRun(w *worker, r *run) {
 	w.remove(r)
+	doubles := slices.DeleteFunc(d.doubles[r.id], func(other *worker) bool { return other == w })
 	if d.running[r.id] == w {
 		delete(d.running, r.id)
+		if len(doubles) > 0 {
+			d.running[r.id], doubles = doubles[0], doubles[1:]
+		}
+	}
+	if len(doubles) == 0 {
+		delete(d.doubles, r.id)
+	} else {
+		d.doubles[r.id] = doubles
 	}
 }
 
@@ -52,6 +68,10 @@
 	r.state = runStopping
 	r.stopSent = now
 	r.stopped = 0
+	if _, led := d.terms[w.Zone]; !led {
+		// Its lease ends it.
+		return
+	}
 	d.effects.Stops = append(d.effects.Stops, Stop{Order: d.orderTo(now, w, false), Task: r.id, Number: r.number})
 }
 
@@ -141,6 +161,7 @@
 		}
 	case Unclear:
 		d.decide("start-unclear", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+		r.unsure = true
 		if r.state == runSent {
 			r.state = runUnclear
 			d.peek(now, w)
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,7 +45,9 @@
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	f := w.workers[w.random.IntN(len(w.workers))]
 	lasts := time.Duration(200+w.random.IntN(5000)) * time.Millisecond
-	switch w.random.IntN(9) {
+	kind := w.random.IntN(9)
+	w.note("fault %d at %v, %s, for %v", kind, n.address, f.entry.ID, lasts)
+	switch kind {
 	case 0:
 		if n.instance != nil {
 			n.kill()
@@ -160,6 +163,9 @@
 					w.violate("job %s of the calm has no end", j.id)
 				}
 			}
+			if len(w.violations) > 0 {
+				t.Log(strings.Join(w.trace, "\n"))
+			}
 			is.Equal(w.violations, nil)
 		})
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -91,7 +91,10 @@
 	foreign bool
 	// adopted says that the run was foreign, so that its start is unknown.
 	adopted bool
-	state   runState
+	// unsure says that an order to start the run was not answered: it may be
+	// carried out late, even in another life of the worker.
+	unsure bool
+	state  runState
 	// since is when the run was ordered, or found.
 	since time.Time
 	// clock is the worker's clock at the latest answer about the run.
--- a/dispatch/worker_world_test.go
+++ b/dispatch/worker_world_test.go
@@ -1,6 +1,9 @@
 package dispatch_test
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/dispatch"
@@ -51,7 +54,8 @@
 // settle ends the runs whose time is over.
 func (w *fakeWorker) settle() {
 	lapse := w.at(w.lease)
-	for id, r := range w.runs {
+	for _, id := range w.ids() {
+		r := w.runs[id]
 		switch {
 		case w.lease > 0 && lapse.Before(r.ends) && !lapse.After(w.world.now):
 			w.finish(id, r, dispatch.EndedOther)
@@ -61,6 +65,13 @@
 	}
 }
 
+// ids returns the tasks at work, in order.
+func (w *fakeWorker) ids() []dispatch.TaskID {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b dispatch.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 func (w *fakeWorker) finish(id dispatch.TaskID, r *fakeRun, how dispatch.How) {
 	delete(w.runs, id)
 	w.highest[id] = max(w.highest[id], r.number)
@@ -156,7 +167,8 @@
 func (w *fakeWorker) report() dispatch.Report {
 	w.settle()
 	report := dispatch.Report{Born: w.born.UnixMilli(), Clock: w.clock().Truncate(time.Millisecond)}
-	for id, r := range w.runs {
+	for _, id := range w.ids() {
+		r := w.runs[id]
 		done := 100 * w.world.now.Sub(r.began) / (r.ends.Sub(r.began) + 1)
 		report.Running = append(report.Running, dispatch.RunningTask{Task: id, Number: r.number, Percent: int(done)})
 	}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,6 +49,7 @@
 
 // Push and Pop are those of heap.Interface.
 func (h *happenings) Push(x any) { *h = append(*h, x.(happening)) }
+
 func (h *happenings) Pop() any {
 	last := (*h)[len(*h)-1]
 	*h = (*h)[:len(*h)-1]
@@ -70,6 +72,7 @@
 	jobs                    map[string]*worldJob
 	nextJob                 int
 	violations              []string
+	trace                   []string
 }
 
 // worldJob is a job as its caller knows it.
@@ -134,12 +137,18 @@
 	w.now = end
 }
 
+// note keeps a line for the trace of a failing seed.
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%v ", w.now.Sub(worldStart))+fmt.Sprintf(format, args...))
+}
+
 func (w *world) violate(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("%v: ", w.now.Sub(worldStart))+fmt.Sprintf(format, args...))
 }
 
 // judgeStart checks what must hold of a start.
 func (w *world) judgeStart(on *fakeWorker, s dispatch.Start) {
+	w.note("start of %v run %d on %s", s.Task, s.Number, on.entry.ID)
 	for _, other := range w.workers {
 		if other.down {
 			continue
@@ -281,8 +290,8 @@
 // kill ends the process. Its callers see their connections break.
 func (n *worldNode) kill() {
 	n.instance = nil
-	for _, j := range n.callers {
-		n.world.resend(j)
+	for _, caller := range slices.Sorted(maps.Keys(n.callers)) {
+		n.world.resend(n.callers[caller])
 	}
 	n.callers = nil
 }
@@ -316,6 +325,9 @@
 // act does what the instance wants done.
 func (n *worldNode) act(e dispatch.Effects) {
 	life := n.life
+	for _, d := range e.Decisions {
+		n.world.note("%v %s %s %v", n.address, d.Event, d.Subject, d.Fields)
+	}
 	for _, s := range e.Starts {
 		n.order(life, s.Order, func(w *fakeWorker) dispatch.Outcome { return w.start(s) },
 			func(o dispatch.Outcome, clock time.Duration) { n.instance.StartDone(n.world.now, s, o, clock) })
@@ -468,7 +480,7 @@
 	})
 }
 
-// leader returns the instance that leads a zone by its own belief, or nil.
+// leaders counts the instances that lead a zone by their own belief.
 func (w *world) leaders() int {
 	leaders := 0
 	for _, n := range w.nodes {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/caller"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // An Instance is the control state of one entry instance.
--- a/entry/matrix_places_test.go
+++ b/entry/matrix_places_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 func networkFaults() []fault {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/backend"
+	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
-	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // foreignFor is the time for which a former holder's word counts on the tasks
--- a/entry/world_tables_test.go
+++ b/entry/world_tables_test.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 func instanceAddress(n int) netip.AddrPort {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -10,8 +10,8 @@
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 // Times of the world.
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -23,12 +23,12 @@
 	// claims to lead, and rankDelay what each better candidate adds to it.
 	pollFor   = 120 * time.Millisecond
 	rankDelay = 100 * time.Millisecond
-	// alone is the silence of everybody after which an instance claims to
+	// alone is the silence of everybody after which an instance may claim to
 	// lead although nobody confirms that the leader is gone: it may be the
-	// one that is cut off.
-	alone = 4 * time.Second
-	// fencedFor is the time for which an instance that a worker refused as
-	// outdated, and that hears nobody, makes no claim.
+	// one that is cut off. Leases of a leader that has ended lapse meanwhile.
+	alone = 2 * time.Second
+	// fencedFor is the silence after which an instance that never knew a
+	// leader claims to lead although workers have served one.
 	fencedFor = 10 * time.Second
 	// steady is the time for which another leader must have been heard before
 	// its availability zones are taken over, and orphaned the time without a
@@ -83,15 +83,14 @@
 	start   time.Time
 	claims  map[string]Claim
 	members map[netip.AddrPort]*standing
-	// lost is when this instance was last told by a worker that its claim to
-	// a zone is outdated, and lostTerm the term of that claim until the next.
-	lost     time.Time
+	// lostTerm is the term of the claim that workers last refused as outdated,
+	// until the next claim.
 	lostTerm uint64
 	// ahead is how far terms run ahead of the time of day.
 	ahead time.Duration
-	// reached is when the workers of a zone without live instances last
-	// answered this instance.
-	reached map[string]time.Time
+	// free and busy are when a worker of a zone was last found without tasks,
+	// and with a later leader or tasks.
+	free, busy map[string]time.Time
 	// listedAt is when the members were last listed in a beat.
 	listedAt time.Time
 	// silentSince is when this instance began to seek a leader of its zone.
@@ -124,7 +123,8 @@
 		start:       now,
 		claims:      make(map[string]Claim),
 		members:     make(map[netip.AddrPort]*standing),
-		reached:     make(map[string]time.Time),
+		free:        make(map[string]time.Time),
+		busy:        make(map[string]time.Time),
 		silentSince: now,
 	}
 	return l
@@ -180,6 +180,18 @@
 	return time.Time{}
 }
 
+// Zone returns the availability zone of the instance at addr, or nothing if it
+// is not known.
+func (l *Leadership) Zone(addr netip.AddrPort) string {
+	if addr == l.cfg.Self {
+		return l.cfg.Zone
+	}
+	if m := l.members[addr]; m != nil {
+		return m.zone
+	}
+	return ""
+}
+
 // Members returns the addresses of the known instances but this one, in order.
 func (l *Leadership) Members() []netip.AddrPort {
 	all := make([]netip.AddrPort, 0, len(l.members))
@@ -196,7 +208,6 @@
 	if !ok || c.Leader != l.cfg.Self {
 		return
 	}
-	l.lost = now
 	l.lostTerm = max(l.lostTerm, c.Term)
 	l.giveUp(now, zone)
 }
@@ -342,7 +353,8 @@
 	asked := now.Sub(l.silentSince)
 	rank, confirmed := l.poll()
 	if !confirmed {
-		if asked < alone || (!l.lost.IsZero() && now.Sub(l.lost) < fencedFor) {
+		unknown := l.claims[l.cfg.Zone].Term == 0 && asked > fencedFor
+		if asked < alone || !(l.deserted(now, l.cfg.Zone) || unknown) {
 			return false
 		}
 		l.claim(now, l.cfg.Zone)
@@ -384,7 +396,7 @@
 		if ok && c.Leader == l.cfg.Self {
 			continue
 		}
-		orphan := l.orphan(now, zone, c) && now.Sub(l.reached[zone]) < orphaned
+		orphan := l.orphan(now, zone, c) && l.deserted(now, zone)
 		if orphan || l.yields(now, c, led) {
 			l.claim(now, zone)
 			claimed = true
@@ -402,22 +414,41 @@
 	return led
 }
 
-// Orphans returns the zones without a leader or a live instance. They are taken
-// over once their workers are found to answer: the zone may be cut off, and
-// have a leader on its side.
-func (l *Leadership) Orphans(now time.Time) []string {
-	if !l.Leading() || l.leaving {
+// Doubtful returns the zones that this instance would lead if it knew that
+// nobody else does: the zone, or this instance, may be cut off from a leader that
+// is at work. The zone's workers tell.
+func (l *Leadership) Doubtful(now time.Time) []string {
+	if l.leaving {
 		return nil
 	}
 	var zones []string
 	for _, zone := range l.cfg.Zones {
-		if c := l.claims[zone]; c.Leader != l.cfg.Self && l.orphan(now, zone, c) {
+		c := l.claims[zone]
+		orphan := l.Leading() && c.Leader != l.cfg.Self && l.orphan(now, zone, c)
+		own := zone == l.cfg.Zone && !l.silentSince.IsZero() && now.Sub(l.silentSince) > alone/2
+		if orphan || own {
 			zones = append(zones, zone)
 		}
 	}
 	return zones
 }
 
+// Found notes whether a worker of zone that was asked has tasks, or a leader
+// later than the last one known here.
+func (l *Leadership) Found(now time.Time, zone string, busy bool) {
+	if busy {
+		l.busy[zone] = now
+	} else {
+		l.free[zone] = now
+	}
+}
+
+// deserted reports whether the workers of zone were found to be without tasks
+// and without a later leader.
+func (l *Leadership) deserted(now time.Time, zone string) bool {
+	return now.Sub(l.free[zone]) < orphaned && now.Sub(l.busy[zone]) > orphaned
+}
+
 // Outdated notes whether the instance at addr has entries of the worker table
 // that this one lacks. Its zones are not taken over meanwhile.
 func (l *Leadership) Outdated(addr netip.AddrPort, is bool) {
@@ -426,9 +457,6 @@
 	}
 }
 
-// Reached notes that a worker of zone has answered this instance.
-func (l *Leadership) Reached(now time.Time, zone string) { l.reached[zone] = now }
-
 // orphan reports whether zone has neither a leader nor a live instance.
 func (l *Leadership) orphan(now time.Time, zone string, c Claim) bool {
 	if now.Sub(l.start) < orphaned+pollFor || (!c.Heard.IsZero() && now.Sub(c.Heard) < orphaned) {
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/amaranthwell/amaranthwell/peer"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 var (
