--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -88,7 +88,7 @@
 }
 
 // broadcast sends a beat to all known instances.
-func (i *Instance) broadcast(now time.Time, beat *peer.Beat) {
+func (i *Instance) broadcast(beat *peer.Beat) {
 	for _, addr := range i.leadership.Members() {
 		i.sendBeat(addr, &peer.Beat{
 			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Members: beat.Members,
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -199,7 +199,7 @@
 	i.advance(now)
 	i.leaving = true
 	i.leadership.Leave()
-	i.broadcast(now, i.leadership.Beat(now))
+	i.broadcast(i.leadership.Beat(now))
 }
 
 // Close makes the instance refuse new jobs.
@@ -242,7 +242,7 @@
 func (i *Instance) Tick(now time.Time) {
 	i.advance(now)
 	if beat := i.leadership.Tick(now); beat != nil {
-		i.broadcast(now, beat)
+		i.broadcast(beat)
 	}
 	i.followTerms(now)
 	i.receiver.tick(now)
