peer, dispatch: one successor for all zones; heavier instances lead; zones apart in large fleets

Change: a leaving leader names its successor, one instance follows a leader that ends in all zones that answer; the machine that can do most comes first; above 120 workers each zone has a leader of its own. A job given again goes on with its runs' numbers.

--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -81,6 +81,7 @@
 	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
 		Self:        cfg.Node.Peers,
 		Incarnation: newRandom().Uint64(),
+		Weight:      cfg.Node.Millicores,
 		Zone:        cfg.Node.Zone,
 		Zones:       cfg.Node.Zones,
 		Wall:        time.Now(),
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -69,6 +69,9 @@
 	// runsPerRound is the number of runs of a task that one leader may order
 	// before the numbers of the next leader's runs begin.
 	runsPerRound = 64
+	// maxWorkersTogether is the number of workers above which each zone has a
+	// leader of its own.
+	maxWorkersTogether = 120
 	// probesPerZone is the number of workers that are asked.
 	probesPerZone = 3
 	// maxJobs bounds the jobs of a leader, and of a receiver.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -273,7 +273,11 @@
 // adopt gives the run of t on w to t, or stops it if t has another.
 func (d *dispatcher) adopt(w *worker, t *task) {
 	r := w.runs[t.id]
-	if r == nil || r.state == runStopping {
+	if r == nil {
+		return
+	}
+	t.number = max(t.number, r.number)
+	if r.state == runStopping {
 		return
 	}
 	if t.state != taskWaiting || r.task != nil {
@@ -281,7 +285,6 @@
 	}
 	w.adopt(r, t)
 	t.job.place(t)
-	t.number = max(t.number, r.number)
 	d.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
 }
 
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -92,6 +92,7 @@
 	for _, addr := range i.leadership.Members() {
 		i.sendBeat(addr, &peer.Beat{
 			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Members: beat.Members,
+			Successor: beat.Successor, Weight: beat.Weight,
 		})
 	}
 }
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -16,6 +16,8 @@
 	// Zone is its availability zone, and Zones are all of them.
 	Zone  string
 	Zones []string
+	// Weight is what the machine can do, in thousandths of a core.
+	Weight int
 	// Incarnation tells this process from its predecessors.
 	Incarnation uint64
 	// Wall is the time of day at the start.
@@ -63,7 +65,7 @@
 	i := &Instance{
 		cfg: cfg,
 		leadership: peer.NewLeadership(now, peer.LeadershipConfig{
-			Self: cfg.Self, Zone: cfg.Zone, Zones: cfg.Zones, Wall: cfg.Wall,
+			Self: cfg.Self, Zone: cfg.Zone, Zones: cfg.Zones, Weight: cfg.Weight, Wall: cfg.Wall,
 		}),
 		dispatcher: newDispatcher(cfg.Self),
 		table:      newTable(),
@@ -241,6 +243,7 @@
 // Tick moves what depends on the time.
 func (i *Instance) Tick(now time.Time) {
 	i.advance(now)
+	i.leadership.SetApart(len(i.dispatcher.order) > maxWorkersTogether)
 	if beat := i.leadership.Tick(now); beat != nil {
 		i.broadcast(beat)
 	}
--- a/dispatch/worker_world_test.go
+++ b/dispatch/worker_world_test.go
@@ -32,9 +32,11 @@
 	entry dispatch.Worker
 	born  time.Time
 	down  bool
-	token uint64
-	lease time.Duration
-	runs  map[dispatch.TaskID]*fakeRun
+	// failing says that every run here fails at once.
+	failing bool
+	token   uint64
+	lease   time.Duration
+	runs    map[dispatch.TaskID]*fakeRun
 	// highest is the highest number of a run stopped or ended here.
 	highest map[dispatch.TaskID]int
 	ends    []dispatch.FinishedTask
@@ -121,6 +123,9 @@
 	if w.world.random.IntN(50) == 0 {
 		r.how = dispatch.EndedFailed
 	}
+	if w.failing {
+		r.ends, r.how = w.world.now.Add(workerStopTime), dispatch.EndedFailed
+	}
 	w.runs[s.Task] = r
 	w.world.at(r.ends, w.settleUp)
 	return dispatch.Accepted
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -57,6 +57,9 @@
 	// Zone is this instance's availability zone, and Zones are all zones.
 	Zone  string
 	Zones []string
+	// Weight is what this instance's machine can do, in thousandths of a core.
+	// Heavier instances come before others.
+	Weight int
 	// Wall is the time of day at the start, for the first term, which must be
 	// above those of earlier processes.
 	Wall time.Time
@@ -98,6 +101,7 @@
 	polledAt    time.Time
 	beatAt      time.Time
 	leaving     bool
+	apart       bool
 }
 
 // standing is what is known of another instance.
@@ -111,6 +115,8 @@
 	// hears are the zones whose leaders it hears, by the time of its beat.
 	hears   map[string]uint64
 	leaving bool
+	// weight is what its machine can do, in thousandths of a core.
+	weight int
 	// outdated says that the instance has entries of the worker table that
 	// this one lacks.
 	outdated bool
@@ -142,6 +148,13 @@
 	l.members[addr] = &standing{zone: zone, listed: now}
 }
 
+// setWeight notes the weight of an instance, as another one has heard it.
+func (l *Leadership) setWeight(addr netip.AddrPort, weight int) {
+	if m := l.members[addr]; m != nil {
+		m.weight = weight
+	}
+}
+
 // Leads returns the term with which this instance leads zone.
 func (l *Leadership) Leads(zone string) (uint64, bool) {
 	c, ok := l.claims[zone]
@@ -248,18 +261,22 @@
 	if now.Sub(m.heard) > Silence {
 		m.steadySince = now
 	}
-	m.zone, m.heard, m.leaving = zone, now, leaving
+	m.zone, m.heard, m.leaving, m.weight = zone, now, leaving, int(b.Weight)
 	m.hears = make(map[string]uint64, len(b.Hears))
 	for _, h := range b.Hears {
 		m.hears[h.Zone] = h.Term
 		l.takeHeard(now, h)
 	}
 	for _, lead := range b.Leads {
-		l.takeLead(now, from, leaving, lead)
+		l.takeLead(now, from, leaving && b.Successor == "", lead)
+	}
+	if leaving && b.Successor == l.cfg.Self.String() && !l.leaving {
+		l.inherit(now, from, b.Leads)
 	}
 	for _, other := range b.Members {
 		if addr, err := netip.ParseAddrPort(other.Address); err == nil {
 			l.AddMember(now, addr, other.Zone)
+			l.setWeight(addr, int(other.Weight))
 		}
 	}
 	if b.Reply || (len(b.Leads) == 0 && !b.Seeking) {
@@ -270,6 +287,67 @@
 	return reply
 }
 
+// inherit claims the zones of a leader that is leaving, and that are still its.
+func (l *Leadership) inherit(now time.Time, from netip.AddrPort, leads []*Lead) {
+	for _, lead := range leads {
+		if c := l.claims[lead.Zone]; c.Leader == from && c.Term == lead.Term {
+			l.claim(now, lead.Zone)
+		}
+	}
+	l.beatAt = time.Time{}
+}
+
+// successor returns the instance that is to lead after this one, or nothing.
+func (l *Leadership) successor(now time.Time) string {
+	var best netip.AddrPort
+	for _, addr := range l.Members() {
+		m := l.members[addr]
+		if m.leaving || now.Sub(m.heard) > Silence || (l.apart && m.zone != l.cfg.Zone) {
+			continue
+		}
+		if !best.IsValid() || m.weight > l.members[best].weight {
+			best = addr
+		}
+	}
+	if !best.IsValid() {
+		return ""
+	}
+	return best.String()
+}
+
+// outranked reports whether the instance at addr comes before this one.
+func (l *Leadership) outranked(addr netip.AddrPort, m *standing) bool {
+	if m.weight != l.cfg.Weight {
+		return m.weight > l.cfg.Weight
+	}
+	return addr.Compare(l.cfg.Self) < 0
+}
+
+// SetApart sets whether each zone is to have a leader of its own, because one
+// instance could not lead all.
+func (l *Leadership) SetApart(apart bool) { l.apart = apart }
+
+// comeHome claims this instance's zone from a leader of another zone, if zones
+// are led apart and no other instance of the zone comes first. It reports whether
+// it did.
+func (l *Leadership) comeHome(now time.Time) bool {
+	c := l.claims[l.cfg.Zone]
+	outsider := l.members[c.Leader]
+	if !l.apart || l.leaving || outsider == nil || outsider.zone == l.cfg.Zone || outsider.outdated {
+		return false
+	}
+	if outsider.steadySince.IsZero() || now.Sub(outsider.steadySince) < steady {
+		return false
+	}
+	for addr, m := range l.members {
+		if m.zone == l.cfg.Zone && !m.leaving && now.Sub(m.listed) < 2*listEvery && l.outranked(addr, m) {
+			return false
+		}
+	}
+	l.claim(now, l.cfg.Zone)
+	return true
+}
+
 // takeLead takes the claim of the instance that sent it.
 func (l *Leadership) takeLead(now time.Time, from netip.AddrPort, leaving bool, lead *Lead) {
 	c := l.claims[lead.Zone]
@@ -330,7 +408,7 @@
 	l.listedAt = now
 	for _, addr := range l.Members() {
 		if m := l.members[addr]; now.Sub(m.heard) < forgetAfter {
-			beat.Members = append(beat.Members, &Member{Address: addr.String(), Zone: m.zone})
+			beat.Members = append(beat.Members, &Member{Address: addr.String(), Zone: m.zone, Weight: uint32(m.weight)})
 		}
 	}
 }
@@ -340,7 +418,7 @@
 func (l *Leadership) seek(now time.Time) bool {
 	if c, ok := l.claims[l.cfg.Zone]; ok && l.fresh(now, c) {
 		l.silentSince = time.Time{}
-		return false
+		return l.comeHome(now)
 	}
 	if l.silentSince.IsZero() {
 		l.silentSince = now
@@ -363,10 +441,33 @@
 	if asked < pollFor+time.Duration(rank)*rankDelay {
 		return false
 	}
-	l.claim(now, l.cfg.Zone)
+	l.succeed(now, l.claims[l.cfg.Zone].Leader)
 	return true
 }
 
+// succeed claims this instance's zone, and those that the former leader led as
+// well and that an instance has answered from.
+func (l *Leadership) succeed(now time.Time, former netip.AddrPort) {
+	for _, zone := range l.cfg.Zones {
+		c, ok := l.claims[zone]
+		same := ok && !l.apart && former.IsValid() && c.Leader == former && l.answered(zone)
+		if zone == l.cfg.Zone || same {
+			l.claim(now, zone)
+		}
+	}
+}
+
+// answered reports whether an instance of zone has answered since this one began
+// to seek, and hears no leader of the zone.
+func (l *Leadership) answered(zone string) bool {
+	for _, m := range l.members {
+		if _, hears := m.hears[zone]; m.zone == zone && m.heard.After(l.silentSince) && !hears {
+			return true
+		}
+	}
+	return false
+}
+
 // poll looks at the answers since this instance began to seek. It returns the
 // number of instances that are to claim the zone before this one, and whether
 // somebody answered and nobody hears a leader of the zone.
@@ -379,7 +480,8 @@
 			return 0, false
 		}
 		confirmed = true
-		if m.zone == l.cfg.Zone && !m.leaving && addr.Compare(l.cfg.Self) < 0 {
+		rival := m.zone == l.cfg.Zone || !l.apart
+		if rival && !m.leaving && l.outranked(addr, m) {
 			rank++
 		}
 	}
@@ -473,12 +575,12 @@
 // yields reports whether the leader of c is live and comes after this one.
 func (l *Leadership) yields(now time.Time, c Claim, led map[netip.AddrPort]int) bool {
 	m := l.members[c.Leader]
-	if m == nil || m.outdated || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
+	if m == nil || l.apart || m.outdated || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
 		return false
 	}
 	order := cmp.Compare(led[c.Leader], led[l.cfg.Self])
 	if order == 0 {
-		order = l.cfg.Self.Compare(c.Leader)
+		return !l.outranked(c.Leader, m)
 	}
 	return order < 0
 }
@@ -508,7 +610,10 @@
 
 // beat returns this instance's view.
 func (l *Leadership) beat(now time.Time) *Beat {
-	b := &Beat{}
+	b := &Beat{Weight: uint32(l.cfg.Weight)}
+	if l.leaving && l.Leading() {
+		b.Successor = l.successor(now)
+	}
 	for _, zone := range l.cfg.Zones {
 		c, ok := l.claims[zone]
 		switch {
