--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -98,7 +98,7 @@
 		if r.without.IsZero() {
 			r.without = now
 			r.lostAt = claim.Heard
-			i.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", now.Sub(claim.Heard))
+			i.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", since(now, claim.Heard))
 		}
 		if claim.Term != r.leader.Term {
 			r.leader = peer.Claim{}
@@ -143,6 +143,14 @@
 	env.Withdrawn = append(env.Withdrawn, id)
 }
 
+// since returns the time from t to now for the log, or "never" for no time.
+func since(now, t time.Time) any {
+	if t.IsZero() {
+		return "never"
+	}
+	return now.Sub(t)
+}
+
 // ids returns the IDs of the open jobs, in order.
 func (r *receiver) ids() []string {
 	ids := make([]string, 0, len(r.open))
