--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -41,12 +41,20 @@
 		if time.Since(start) > lastPause {
 			pause = firstPause
 		}
+		s.lost.Store(what, true)
 		_ = s.logger.Log("event", "store-lost", "reading", what, "error", err, "pause", pause)
 		sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
 
+// answered notes that the store has answered a reader of what.
+func (s *service) answered(what string) {
+	if _, lost := s.lost.LoadAndDelete(what); lost {
+		_ = s.logger.Log("event", "store-regained", "reading", what)
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -65,6 +73,7 @@
 		return err
 	}
 	for {
+		s.answered("tables")
 		for _, r := range records {
 			if r.Key == platform.ConfigurationKey && !r.Dropped {
 				s.takeTables(r.Value)
@@ -103,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	s.answered("workers")
 	s.takeAllWorkers(records)
 	for s.loop.leading.Load() && ctx.Err() == nil {
 		sleep(ctx, workersEvery)
@@ -189,6 +199,7 @@
 	if err != nil {
 		return err
 	}
+	s.answered("members")
 	for _, r := range records {
 		if r.Dropped {
 			continue
--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -60,7 +60,7 @@
 	open    sync.Map
 	links   map[netip.AddrPort]*peer.Link
 	stopped chan struct{}
-	ends    map[dispatch.State]*metrics.Counter
+	ends    map[dispatch.State]*metrics.Histogram
 }
 
 // newLoop returns a loop whose goroutine runs until ctx ends.
@@ -72,12 +72,15 @@
 		callers: make(map[dispatch.CallerID]chan dispatch.End),
 		links:   make(map[netip.AddrPort]*peer.Link),
 		stopped: make(chan struct{}),
-		ends:    make(map[dispatch.State]*metrics.Counter),
+		ends:    make(map[dispatch.State]*metrics.Histogram),
 	}
-	l.orders = newOrders(cfg.Workers, l.do)
+	l.orders = newOrders(cfg.Workers, cfg.Metrics, l.do)
 	for _, state := range []dispatch.State{dispatch.Completed, dispatch.Failed, dispatch.NotRun, dispatch.Overdue} {
-		l.ends[state] = cfg.Metrics.NewCounter(`amaranthwell_jobs_ended_total{state="` + state.String() + `"}`)
+		l.ends[state] = cfg.Metrics.NewHistogram(`amaranthwell_job_seconds{state="` + state.String() + `"}`)
 	}
+	cfg.Metrics.NewGauge("amaranthwell_zone_led", func() float64 { return truth(l.led.Load()) })
+	cfg.Metrics.NewGauge("amaranthwell_zone_leading", func() float64 { return truth(l.leading.Load()) })
+	cfg.Metrics.NewGauge("amaranthwell_events_waiting", func() float64 { return float64(len(l.events)) })
 	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
 		Self:        cfg.Node.Peers,
 		Incarnation: newRandom().Uint64(),
@@ -109,6 +112,14 @@
 	return l
 }
 
+// truth returns 1 for true and 0 for false.
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // takeMore takes the events that already wait.
 func (l *loop) takeMore(now time.Time, i *dispatch.Instance) {
 	for range maxEvents {
@@ -196,7 +207,7 @@
 	l.do(func(now time.Time, i *dispatch.Instance) { i.Submit(now, id, job) })
 	select {
 	case end := <-ends:
-		l.ends[end.State].Inc()
+		l.ends[end.State].Update(bootTime().Sub(job.Arrived).Seconds())
 		return end, nil
 	case <-ctx.Done():
 		l.forget(id)
--- a/cmd/amaranthwell/orders.go
+++ b/cmd/amaranthwell/orders.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/amaranthwell/amaranthwell/dispatch"
 	"github.com/amaranthwell/amaranthwell/platform"
 )
@@ -25,10 +28,27 @@
 	// lanes holds a token of each worker for its one order at a time. Only
 	// the control goroutine changes the map.
 	lanes map[string]chan struct{}
+	// starts, stops and looks count the orders by their outcome.
+	starts, stops, looks map[dispatch.Outcome]*metrics.Counter
 }
 
-func newOrders(workers *platform.Workers, do func(step)) *orders {
-	return &orders{workers: workers, do: do, lanes: make(map[string]chan struct{})}
+func newOrders(workers *platform.Workers, set *metrics.Set, do func(step)) *orders {
+	counters := func(kind string) map[dispatch.Outcome]*metrics.Counter {
+		byOutcome := make(map[dispatch.Outcome]*metrics.Counter)
+		for o := dispatch.Unclear; o <= dispatch.NotSent; o++ {
+			name := fmt.Sprintf("amaranthwell_worker_orders_total{kind=%q,outcome=%q}", kind, o)
+			byOutcome[o] = set.NewCounter(name)
+		}
+		return byOutcome
+	}
+	return &orders{
+		workers: workers,
+		do:      do,
+		lanes:   make(map[string]chan struct{}),
+		starts:  counters("start"),
+		stops:   counters("stop"),
+		looks:   counters("look"),
+	}
 }
 
 // lane returns the token of a worker.
@@ -67,6 +87,7 @@
 			outcome, clock, _ = o.workers.Start(context.Background(), s)
 		}
 		leave()
+		o.starts[outcome].Inc()
 		o.do(func(now time.Time, i *dispatch.Instance) { i.StartDone(now, s, outcome, clock) })
 	}()
 }
@@ -80,6 +101,7 @@
 			outcome, clock, _ = o.workers.Stop(context.Background(), s)
 		}
 		leave()
+		o.stops[outcome].Inc()
 		o.do(func(now time.Time, i *dispatch.Instance) { i.StopDone(now, s, outcome, clock) })
 	}()
 }
@@ -90,6 +112,7 @@
 		if fresh(l.Order) {
 			outcome, report, _ = o.workers.Look(context.Background(), l)
 		}
+		o.looks[outcome].Inc()
 		o.do(func(now time.Time, i *dispatch.Instance) { i.LookDone(now, l, report, outcome) })
 	}()
 }
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -74,6 +75,8 @@
 	loop    *loop
 	tables  atomic.Pointer[dispatch.Tables]
 	closing atomic.Bool
+	// lost holds what could not be read from the store lately.
+	lost    sync.Map
 	metrics *metrics.Set
 }
 
@@ -102,6 +105,12 @@
 	if err != nil {
 		return err
 	}
+	s.metrics.NewGauge("amaranthwell_tables_version", func() float64 {
+		if tables := s.tables.Load(); tables != nil {
+			return float64(tables.Version)
+		}
+		return 0
+	})
 	s.follow(serving, group)
 	_ = s.logger.Log("event", "started", "zone", s.node.Zone, "peers", s.node.Peers, "callers", s.node.Callers)
 	for {
