peer: let the first candidate lead all zones without a leader

Change: who claims first claims every zone from which an instance answers that it hears no leader, and a leader does so at any time. Test: TestOneInstanceComesToLeadAllZones.

--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -96,6 +96,8 @@
 func TestOneInstanceComesToLeadAllZones(t *testing.T) {
 	is := is.New(t)
 	c := newCouncil("hr-north-a", "hr-north-a", "hr-north-b")
+	c.run(pollFor + 100*time.Millisecond)
+	is.Equal(c.leaders(), []int{2, 0, 0}) // in one step
 	c.run(2 * time.Second)
 	is.Equal(c.leaders(), []int{2, 0, 0})
 }
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -102,7 +102,7 @@
 func (l *Leadership) succeed(now time.Time, former netip.AddrPort) {
 	for _, zone := range l.cfg.Zones {
 		c, ok := l.claims[zone]
-		same := ok && !l.apart && former.IsValid() && c.Leader == former && l.answered(zone)
+		same := !l.apart && (!ok || c.Leader == former) && l.answered(zone)
 		if zone == l.cfg.Zone || same {
 			l.claim(now, zone)
 		}
@@ -151,7 +151,7 @@
 			continue
 		}
 		orphan := l.orphan(now, zone, c) && l.deserted(now, zone)
-		if orphan || l.yields(now, c, led) {
+		if orphan || l.unled(now, zone) || l.yields(now, c, led) {
 			l.claim(now, zone)
 			claimed = true
 		}
@@ -159,6 +159,25 @@
 	return claimed
 }
 
+// unled reports whether live instances of zone answer this one, and nobody hears
+// a leader of the zone.
+func (l *Leadership) unled(now time.Time, zone string) bool {
+	if c, ok := l.claims[zone]; l.apart || (ok && l.fresh(now, c)) {
+		return false
+	}
+	lives := false
+	for _, m := range l.members {
+		if now.Sub(m.heard) >= Silence {
+			continue
+		}
+		if _, hears := m.hears[zone]; hears {
+			return false
+		}
+		lives = lives || m.zone == zone
+	}
+	return lives
+}
+
 // ledBy counts the zones of each leader.
 func (l *Leadership) ledBy() map[netip.AddrPort]int {
 	led := make(map[netip.AddrPort]int)
