--- a/cmd/amaranthwell/control.go
+++ b/cmd/amaranthwell/control.go
@@ -17,23 +17,18 @@
 // Times and sizes of the control loop.
 const (
 	tickEvery = 20 * time.Millisecond
-	// maxEvents is the number of events that are taken before what they
-	// call for is done.
-	maxEvents = 512
-	// eventCapacity is the number of events that may wait.
-	eventCapacity = 4096
 	// staleStart is the age at which a decision to start a task is dropped.
 	staleStart = time.Second
 )
 
 // An event changes the control state at a time.
-type event func(now time.Time, i *entry.Instance)
+type event = func(now time.Time, i *entry.Instance)
 
 // A control runs an entry.Instance: one goroutine owns the instance, takes
 // events in order and hands out what is to be done.
 type control struct {
-	instance  *entry.Instance
-	events    chan event
+	instance *entry.Instance
+	mailbox[*entry.Instance]
 	backends  *backend.Client
 	snapshots func([]byte)
 	logger    log.Logger
@@ -41,9 +36,8 @@
 	mu      sync.Mutex
 	callers map[entry.CallerID]chan caller.Answer
 	nextID  entry.CallerID
-	links   map[netip.AddrPort]*peer.Link
+	links   *links
 	running sync.WaitGroup
-	stopped chan struct{}
 }
 
 // newControl returns a control whose goroutine runs until ctx ends. Snapshots
@@ -53,14 +47,13 @@
 ) *control {
 	c := &control{
 		instance:  instance,
-		events:    make(chan event, eventCapacity),
+		mailbox:   newMailbox[*entry.Instance](),
 		backends:  backends,
 		snapshots: snapshots,
 		logger:    logger,
 		callers:   make(map[entry.CallerID]chan caller.Answer),
-		links:     make(map[netip.AddrPort]*peer.Link),
-		stopped:   make(chan struct{}),
 	}
+	c.links = newLinks(c)
 	go func() {
 		defer close(c.stopped)
 		ticker := time.NewTicker(tickEvery)
@@ -74,7 +67,7 @@
 			case e := <-c.events:
 				now := time.Now()
 				e(now, instance)
-				c.takeMore(now)
+				c.takeMore(now, instance)
 			}
 			c.act(instance.Take(time.Now()))
 		}
@@ -82,50 +75,13 @@
 	return c
 }
 
-// takeMore takes the events that already wait, so that what they call for is
-// done together.
-func (c *control) takeMore(now time.Time) {
-	for range maxEvents {
-		select {
-		case e := <-c.events:
-			e(now, c.instance)
-		default:
-			return
-		}
-	}
-}
-
-// do hands an event to the control goroutine.
-func (c *control) do(e event) {
-	select {
-	case c.events <- e:
-	case <-c.stopped:
-	}
-}
-
-// ask hands an event to the control goroutine and waits until it was taken. It
-// reports whether it was.
-func (c *control) ask(e event) bool {
-	done := make(chan struct{})
-	c.do(func(now time.Time, i *entry.Instance) {
-		e(now, i)
-		close(done)
-	})
-	select {
-	case <-done:
-		return true
-	case <-c.stopped:
-		return false
-	}
-}
-
 // act does what the instance wants done.
 func (c *control) act(effects entry.Effects) {
 	for _, a := range effects.Answers {
 		c.answer(a)
 	}
 	for _, s := range effects.Sends {
-		c.link(s.To).Send(s.Envelope)
+		c.links.to(s.To).Send(s.Envelope)
 	}
 	for _, s := range effects.Starts {
 		c.running.Go(func() { c.run(s) })
@@ -155,17 +111,6 @@
 	c.do(func(now time.Time, i *entry.Instance) { i.TaskDone(now, s.Task, outcome) })
 }
 
-// link returns the link to the peer at addr. Only the control goroutine calls
-// it.
-func (c *control) link(addr netip.AddrPort) *peer.Link {
-	l := c.links[addr]
-	if l == nil {
-		l = peer.NewLink(addr, c)
-		c.links[addr] = l
-	}
-	return l
-}
-
 // Deliver takes an envelope from a peer.
 func (c *control) Deliver(env *peer.Envelope) {
 	addr, err := netip.ParseAddrPort(env.From)
@@ -247,15 +192,7 @@
 
 // closeLinks ends the links once what waits in them is sent, or after timeout.
 func (c *control) closeLinks(timeout time.Duration) {
-	var links []*peer.Link
-	c.ask(func(time.Time, *entry.Instance) {
-		for _, l := range c.links {
-			links = append(links, l)
-		}
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	for _, l := range links {
-		l.Close(ctx)
-	}
+	var all []*peer.Link
+	c.ask(func(time.Time, *entry.Instance) { all = c.links.all() })
+	closeAll(all, timeout)
 }
--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -41,13 +41,13 @@
 }
 
 // A step changes the control state at a time.
-type step func(now time.Time, i *dispatch.Instance)
+type step = func(now time.Time, i *dispatch.Instance)
 
 // A loop runs a dispatch.Instance: one goroutine owns the instance, takes
 // events in order and hands out what is to be done.
 type loop struct {
-	cfg    loopConfig
-	events chan step
+	cfg loopConfig
+	mailbox[*dispatch.Instance]
 	orders *orders
 	// led and leading say whether a leader of the zone is known, and whether
 	// it is this instance.
@@ -58,8 +58,7 @@
 	callers map[dispatch.CallerID]chan dispatch.End
 	nextID  dispatch.CallerID
 	open    sync.Map
-	links   map[netip.AddrPort]*peer.Link
-	stopped chan struct{}
+	links   *links
 	ends    map[dispatch.State]*metrics.Histogram
 }
 
@@ -67,13 +66,12 @@
 func newLoop(ctx context.Context, cfg loopConfig) *loop {
 	l := &loop{
 		cfg:     cfg,
-		events:  make(chan step, eventCapacity),
+		mailbox: newMailbox[*dispatch.Instance](),
 		lead:    make(chan struct{}, 1),
 		callers: make(map[dispatch.CallerID]chan dispatch.End),
-		links:   make(map[netip.AddrPort]*peer.Link),
-		stopped: make(chan struct{}),
 		ends:    make(map[dispatch.State]*metrics.Histogram),
 	}
+	l.links = newLinks(l)
 	l.orders = newOrders(cfg.Workers, cfg.Metrics, l.do)
 	for _, state := range []dispatch.State{dispatch.Completed, dispatch.Failed, dispatch.NotRun, dispatch.Overdue} {
 		l.ends[state] = cfg.Metrics.NewHistogram(`amaranthwell_job_seconds{state="` + state.String() + `"}`)
@@ -120,18 +118,6 @@
 	return 0
 }
 
-// takeMore takes the events that already wait.
-func (l *loop) takeMore(now time.Time, i *dispatch.Instance) {
-	for range maxEvents {
-		select {
-		case s := <-l.events:
-			s(now, i)
-		default:
-			return
-		}
-	}
-}
-
 // publish makes what other goroutines read of the instance known.
 func (l *loop) publish(now time.Time, i *dispatch.Instance) {
 	l.led.Store(i.Led(now))
@@ -145,30 +131,6 @@
 	}
 }
 
-// do hands an event to the control goroutine.
-func (l *loop) do(s step) {
-	select {
-	case l.events <- s:
-	case <-l.stopped:
-	}
-}
-
-// ask hands an event to the control goroutine and waits until it was taken. It
-// reports whether it was.
-func (l *loop) ask(s step) bool {
-	done := make(chan struct{})
-	l.do(func(now time.Time, i *dispatch.Instance) {
-		s(now, i)
-		close(done)
-	})
-	select {
-	case <-done:
-		return true
-	case <-l.stopped:
-		return false
-	}
-}
-
 // act does what the instance wants done.
 func (l *loop) act(effects dispatch.Effects) {
 	for _, start := range effects.Starts {
@@ -184,7 +146,7 @@
 		l.answer(e)
 	}
 	for _, send := range effects.Sends {
-		l.link(send.To).Send(send.Envelope)
+		l.links.to(send.To).Send(send.Envelope)
 	}
 	for _, tables := range effects.Tables {
 		go l.cfg.Tables(tables)
@@ -261,28 +223,9 @@
 	l.do(func(now time.Time, i *dispatch.Instance) { i.LinkReset(now, addr) })
 }
 
-// link returns the link to the peer at addr. Only the control goroutine calls
-// it.
-func (l *loop) link(addr netip.AddrPort) *peer.Link {
-	link := l.links[addr]
-	if link == nil {
-		link = peer.NewLink(addr, l)
-		l.links[addr] = link
-	}
-	return link
-}
-
 // closeLinks ends the links once what waits in them is sent, or after timeout.
 func (l *loop) closeLinks(timeout time.Duration) {
-	var links []*peer.Link
-	l.ask(func(time.Time, *dispatch.Instance) {
-		for _, link := range l.links {
-			links = append(links, link)
-		}
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	for _, link := range links {
-		link.Close(ctx)
-	}
+	var all []*peer.Link
+	l.ask(func(time.Time, *dispatch.Instance) { all = l.links.all() })
+	closeAll(all, timeout)
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -36,7 +36,7 @@
 	topSpeed   float64
 	typicalCPU float64
 	effects    *Effects
-	// settled receives the ends of jobs, for their receivers.
+	// settle tells a receiver how its job has ended.
 	settle func(now time.Time, to netip.AddrPort, end End)
 	// fenced is told of a zone whose workers have served a later leader.
 	fenced func(now time.Time, zone string)
--- a/dispatch/tables.go
+++ b/dispatch/tables.go
@@ -28,23 +28,19 @@
 	Advised bool
 }
 
-// Limits bound what callers may send.
-type Limits struct {
-	HeaderBytes, BodyBytes     int
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
 // Tables are the operators' tables in force, in one version.
 type Tables struct {
 	Version uint64
-	Limits  Limits
+	// BodyBytes bounds the body of a caller's request, unless 0.
+	BodyBytes int
 	// byHost holds the routes of each host, those of the longest prefix first.
 	byHost map[string][]Route
 }
 
-// NewTables returns the tables of version with the given routes.
-func NewTables(version uint64, routes []Route, limits Limits) *Tables {
-	t := &Tables{Version: version, Limits: limits, byHost: make(map[string][]Route)}
+// NewTables returns the tables of version with the given routes, and the bound of
+// bodies.
+func NewTables(version uint64, routes []Route, bodyBytes int) *Tables {
+	t := &Tables{Version: version, BodyBytes: bodyBytes, byHost: make(map[string][]Route)}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -143,7 +143,7 @@
 	speed float64
 	// missing is when the entry vanished from the worker table, or zero.
 	missing time.Time
-	// trouble counts failures in a row, for lack of any success.
+	// trouble counts the failures since the last success.
 	trouble int
 }
 
--- a/httpjson/httpjson.go
+++ b/httpjson/do.go
@@ -1,4 +1,3 @@
-// Package httpjson sends HTTP requests whose answers are JSON bodies.
 package httpjson
 
 import (
--- /dev/null
+++ b/httpjson/doc.go
@@ -0,0 +1,2 @@
+// Package httpjson sends HTTP requests whose answers are JSON bodies.
+package httpjson
--- a/tcp/tcp.go
+++ b/tcp/dialer.go
@@ -1,4 +1,3 @@
-// Package tcp opens connections that do not hang on a silent peer.
 package tcp
 
 import (
--- /dev/null
+++ b/tcp/doc.go
@@ -0,0 +1,2 @@
+// Package tcp opens connections that do not hang on a silent peer.
+package tcp
