--- a/standin/leased_worker.go
+++ b/standin/leased_worker.go
@@ -18,6 +18,8 @@
 	RunTime time.Duration
 	// Tasks is the number of tasks that fit.
 	Tasks int
+	// Started and Ended, unless nil, are told of each run's begin and end.
+	Started, Ended func(task string)
 }
 
 // A LeasedWorker is a stand-in for a worker of the platform: it runs tasks under
@@ -35,6 +37,8 @@
 	next     int64
 	ended    chan struct{}
 	starts   map[string]int
+	// highest is the highest number of each task's runs stopped or ended here.
+	highest map[string]int
 }
 
 type leasedRun struct {
@@ -77,6 +81,7 @@
 		running: make(map[string]*leasedRun),
 		ended:   make(chan struct{}),
 		starts:  make(map[string]int),
+		highest: make(map[string]int),
 	}
 }
 
@@ -161,6 +166,10 @@
 	}
 	r.timer.Stop()
 	delete(w.running, task)
+	w.highest[task] = max(w.highest[task], r.number)
+	if w.cfg.Ended != nil {
+		w.cfg.Ended(task)
+	}
 	w.next++
 	w.finished = append(w.finished, finishedRow{w.next, task, r.number, how})
 	close(w.ended)
@@ -177,8 +186,19 @@
 		w.refuse(rw, "room")
 		return
 	}
+	if r := w.running[o.Task]; r != nil && r.number == o.Run {
+		writeJSON(rw, map[string]any{"clock_ms": w.clock().Milliseconds()})
+		return
+	}
+	if o.Run <= w.highest[o.Task] || w.running[o.Task] != nil {
+		w.refuse(rw, "old")
+		return
+	}
 	w.extend(deadline)
 	w.starts[o.Task]++
+	if w.cfg.Started != nil {
+		w.cfg.Started(o.Task)
+	}
 	r := &leasedRun{number: o.Run, began: time.Now()}
 	r.timer = time.AfterFunc(w.cfg.RunTime, func() {
 		w.mu.Lock()
@@ -195,6 +215,7 @@
 	if r := w.running[o.Task]; r != nil && r.number <= o.Run {
 		w.finish(o.Task, "stopped")
 	}
+	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 	writeJSON(rw, map[string]any{"clock_ms": w.clock().Milliseconds()})
 }
 
