--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -125,6 +125,20 @@
 	is.True(time.Duration(again.SettleNanos) > time.Second) // the longest lease
 }
 
+// TestJobGivenAgainMayHaveRun breaks the link to the leader, which may have dropped
+// the job meanwhile: it is given again as one that may have run.
+func TestJobGivenAgainMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	s := newScripted()
+	s.heard(firstLeader, 1024, 500*time.Millisecond)
+	s.Submit(s.now, 1, s.job("5c0e7a21d94b36f8"))
+	s.pass(10 * time.Millisecond)
+	is.Equal(s.jobSent(firstLeader).Round, uint32(0))
+	s.LinkReset(s.now, firstLeader)
+	s.pass(10 * time.Millisecond)
+	is.Equal(s.jobSent(firstLeader).Round, uint32(1))
+}
+
 // TestFormerLeaderIsToldToLetGo changes the leader while the former one is heard.
 func TestFormerLeaderIsToldToLetGo(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -57,8 +57,7 @@
 	o.job.Patience = later(o.job.Patience, job.Patience)
 	o.callers = append(o.callers, caller)
 	r.callers[caller] = job.ID
-	o.given = false
-	r.give(now, o)
+	r.giveAgain(now, o)
 }
 
 // refusal returns why no new job is taken, or nothing.
@@ -90,6 +89,16 @@
 	env.Jobs = append(env.Jobs, encodeJob(now, o.job))
 }
 
+// giveAgain hands a job to the leader that may have had it before, and may have
+// dropped it since: the job counts as one that may have run.
+func (r *receiver) giveAgain(now time.Time, o *openJob) {
+	o.given = false
+	if o.begun {
+		o.job.Round = max(o.job.Round, 1)
+	}
+	r.give(now, o)
+}
+
 // follow gives all jobs to a new leader.
 func (r *receiver) follow(now time.Time) {
 	i := r.instance
@@ -167,8 +176,7 @@
 		return
 	}
 	for _, id := range r.ids() {
-		r.open[id].given = false
-		r.give(now, r.open[id])
+		r.giveAgain(now, r.open[id])
 	}
 }
 
@@ -182,8 +190,7 @@
 	switch {
 	case end.State == GiveAgain:
 		if current {
-			o.given = false
-			r.give(now, o)
+			r.giveAgain(now, o)
 		}
 		return
 	case !current && end.State != Completed:
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -39,6 +39,10 @@
 	forgetAfter = 15 * time.Second
 )
 
+// muchHeavier is the factor by which an instance must outweigh a leader of its own
+// zone to replace it.
+const muchHeavier = 2
+
 // termBits is the number of low bits of a term that tell claims of the same
 // millisecond apart.
 const termBits = 10
--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -159,6 +159,24 @@
 	is.True(leads) // nobody gives its workers tasks
 }
 
+func TestHeaviestInstanceComesToLeadItsZoneApart(t *testing.T) {
+	is := is.New(t)
+	c := newCouncil("hr-north-a", "hr-north-a", "hr-north-b", "hr-north-b")
+	for n, weight := range []int{144, 800, 144, 800} {
+		l := c.members[c.order[n]]
+		l.cfg.Weight = weight
+		l.SetApart(true)
+	}
+	// The light instances are there first.
+	late := []*Leadership{c.members[c.order[1]], c.members[c.order[3]]}
+	c.members[c.order[1]], c.members[c.order[3]] = nil, nil
+	c.run(time.Second)
+	is.Equal(c.leaders(), []int{1, 0, 1, 0})
+	c.members[c.order[1]], c.members[c.order[3]] = late[0], late[1]
+	c.run(4 * time.Second)
+	is.Equal(c.leaders(), []int{0, 1, 0, 1})
+}
+
 func TestLaterClaimsHaveHigherTerms(t *testing.T) {
 	is := is.New(t)
 	c := newCouncil("hr-north-a", "hr-north-a")
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -44,16 +44,20 @@
 	return addr.Compare(l.cfg.Self) < 0
 }
 
-// comeHome claims this instance's zone from a leader of another zone, if zones
-// are led apart and no other instance of the zone comes first. It reports whether
-// it did.
+// comeHome claims this instance's zone from a leader of another zone, or one whose
+// machine can do far less, if zones are led apart and no other instance of the zone
+// comes first. It reports whether it did.
 func (l *Leadership) comeHome(now time.Time) bool {
 	c := l.claims[l.cfg.Zone]
-	outsider := l.members[c.Leader]
-	if !l.apart || l.leaving || outsider == nil || outsider.zone == l.cfg.Zone || outsider.outdated {
+	leader := l.members[c.Leader]
+	if !l.apart || l.leaving || leader == nil || leader.outdated {
 		return false
 	}
-	if outsider.steadySince.IsZero() || now.Sub(outsider.steadySince) < steady {
+	light := leader.weight*muchHeavier <= l.cfg.Weight
+	if leader.zone == l.cfg.Zone && !light {
+		return false
+	}
+	if leader.steadySince.IsZero() || now.Sub(leader.steadySince) < steady {
 		return false
 	}
 	for addr, m := range l.members {
