amaranthwell, dispatch: one table of waiting callers for both daemons

Found on reading the change once more: loop had control's add, answer and forget of waiting callers over again, and two lists of sorted keys were written out. Change: waiters serves both; the lists are slices.Sorted of maps.Keys. Behaviour as before.

--- a/cmd/amaranthwell/control.go
+++ b/cmd/amaranthwell/control.go
@@ -33,9 +33,7 @@
 	snapshots func([]byte)
 	logger    log.Logger
 
-	mu      sync.Mutex
-	callers map[entry.CallerID]chan caller.Answer
-	nextID  entry.CallerID
+	callers *waiters[entry.CallerID, caller.Answer]
 	links   *links
 	running sync.WaitGroup
 }
@@ -51,7 +49,7 @@
 		backends:  backends,
 		snapshots: snapshots,
 		logger:    logger,
-		callers:   make(map[entry.CallerID]chan caller.Answer),
+		callers:   newWaiters[entry.CallerID, caller.Answer](),
 	}
 	c.links = newLinks(c)
 	go func() {
@@ -78,7 +76,7 @@
 // act does what the instance wants done.
 func (c *control) act(effects entry.Effects) {
 	for _, a := range effects.Answers {
-		c.answer(a)
+		c.callers.answer(a.Caller, a.Answer)
 	}
 	for _, s := range effects.Sends {
 		c.links.to(s.To).Send(s.Envelope)
@@ -128,40 +126,19 @@
 // Submit gives a job to the instance and waits for its answer. If ctx ends
 // first, the job goes on, and the error is that of ctx.
 func (c *control) Submit(ctx context.Context, job caller.Job) (caller.Answer, error) {
-	answers := make(chan caller.Answer, 1)
-	c.mu.Lock()
-	c.nextID++
-	id := c.nextID
-	c.callers[id] = answers
-	c.mu.Unlock()
+	id, answers := c.callers.add()
 	c.do(func(now time.Time, i *entry.Instance) { i.Submit(now, id, job) })
 	select {
 	case a := <-answers:
 		return a, nil
 	case <-ctx.Done():
-		c.forget(id)
+		c.callers.forget(id)
 		return caller.Answer{}, ctx.Err()
 	case <-c.stopped:
 		return caller.Answer{Key: job.Key, Status: caller.Unknown, Reason: caller.ReasonLeaving}, nil
 	}
 }
 
-// answer passes an answer to the caller that waits for it.
-func (c *control) answer(a entry.CallerAnswer) {
-	if answers := c.forget(a.Caller); answers != nil {
-		answers <- a.Answer
-	}
-}
-
-// forget removes a caller and returns its channel, or nil if it has gone.
-func (c *control) forget(id entry.CallerID) chan caller.Answer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	answers := c.callers[id]
-	delete(c.callers, id)
-	return answers
-}
-
 // IssueKeys returns n new submission keys.
 func (c *control) IssueKeys(n int) ([]caller.Key, error) {
 	keys := make([]caller.Key, 0, n)
--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -54,9 +54,7 @@
 	led, leading atomic.Bool
 	lead         chan struct{}
 
-	mu      sync.Mutex
-	callers map[dispatch.CallerID]chan dispatch.End
-	nextID  dispatch.CallerID
+	callers *waiters[dispatch.CallerID, dispatch.End]
 	open    sync.Map
 	links   *links
 	ends    map[dispatch.State]*metrics.Histogram
@@ -68,7 +66,7 @@
 		cfg:     cfg,
 		mailbox: newMailbox[*dispatch.Instance](),
 		lead:    make(chan struct{}, 1),
-		callers: make(map[dispatch.CallerID]chan dispatch.End),
+		callers: newWaiters[dispatch.CallerID, dispatch.End](),
 		ends:    make(map[dispatch.State]*metrics.Histogram),
 	}
 	l.links = newLinks(l)
@@ -143,7 +141,7 @@
 		l.orders.stop(stop)
 	}
 	for _, e := range effects.Ends {
-		l.answer(e)
+		l.callers.answer(e.Caller, e.End)
 	}
 	for _, send := range effects.Sends {
 		l.links.to(send.To).Send(send.Envelope)
@@ -158,12 +156,7 @@
 
 // Run gives a job to the instance and waits for its end.
 func (l *loop) Run(ctx context.Context, job dispatch.Job) (dispatch.End, error) {
-	ends := make(chan dispatch.End, 1)
-	l.mu.Lock()
-	l.nextID++
-	id := l.nextID
-	l.callers[id] = ends
-	l.mu.Unlock()
+	id, ends := l.callers.add()
 	l.open.Store(job.ID, struct{}{})
 	defer l.open.Delete(job.ID)
 	l.do(func(now time.Time, i *dispatch.Instance) { i.Submit(now, id, job) })
@@ -172,7 +165,7 @@
 		l.ends[end.State].Update(bootTime().Sub(job.Arrived).Seconds())
 		return end, nil
 	case <-ctx.Done():
-		l.forget(id)
+		l.callers.forget(id)
 		l.do(func(now time.Time, i *dispatch.Instance) { i.Abandon(now, id) })
 		return dispatch.End{}, ctx.Err()
 	case <-l.stopped:
@@ -193,22 +186,6 @@
 	return open
 }
 
-// answer passes an end to the caller that waits for it.
-func (l *loop) answer(e dispatch.CallerEnd) {
-	if ends := l.forget(e.Caller); ends != nil {
-		ends <- e.End
-	}
-}
-
-// forget removes a caller and returns its channel, or nil if it has gone.
-func (l *loop) forget(id dispatch.CallerID) chan dispatch.End {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ends := l.callers[id]
-	delete(l.callers, id)
-	return ends
-}
-
 // Deliver takes an envelope from a peer.
 func (l *loop) Deliver(env *peer.Envelope) {
 	addr, err := netip.ParseAddrPort(env.From)
--- /dev/null
+++ b/cmd/amaranthwell/waiters.go
@@ -0,0 +1,41 @@
+package main
+
+import "sync"
+
+// waiters holds the callers that wait for an answer, by ID. It is safe for
+// concurrent use.
+type waiters[ID ~uint64, A any] struct {
+	mu      sync.Mutex
+	next    ID
+	waiting map[ID]chan A
+}
+
+func newWaiters[ID ~uint64, A any]() *waiters[ID, A] {
+	return &waiters[ID, A]{waiting: make(map[ID]chan A)}
+}
+
+// add returns a new caller's ID, and the channel on which it gets its answer.
+func (w *waiters[ID, A]) add() (ID, <-chan A) {
+	answers := make(chan A, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	w.waiting[w.next] = answers
+	return w.next, answers
+}
+
+// answer passes an answer to the caller that waits for it, unless it has gone.
+func (w *waiters[ID, A]) answer(id ID, a A) {
+	if answers := w.forget(id); answers != nil {
+		answers <- a
+	}
+}
+
+// forget removes a caller and returns its channel, or nil if it has gone.
+func (w *waiters[ID, A]) forget(id ID) chan A {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	answers := w.waiting[id]
+	delete(w.waiting, id)
+	return answers
+}
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -162,12 +163,7 @@
 
 // ids returns the IDs of the open jobs, in order.
 func (r *receiver) ids() []string {
-	ids := make([]string, 0, len(r.open))
-	for id := range r.open {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(r.open))
 }
 
 // linkReset gives the jobs again that a link to the leader may have lost.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -64,12 +65,7 @@
 
 // jobIDs returns the IDs of the active jobs, in order.
 func (d *dispatcher) jobIDs() []string {
-	ids := make([]string, 0, len(d.jobs))
-	for id := range d.jobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(d.jobs))
 }
 
 // fastest returns the speed that a tenth of the usable workers exceed, or 1.
