amaranthwell, dispatch, platform: a line for each decision on a request; explain

Cause: a job that was accepted and started normally left no line, nor did a request that was refused before it became a job, nor the error of an order to a worker, which was dropped. Ruled out: a line for each task and one for each end at the leader (5 lines a job): the answer's line says all that the end's did. Change: job-accepted, tasks-started, job-waits, job-answered, job-abandoned, job-cancelled, request-refused and order-failed, with Request-Id, version of the tables, leader and term. Usual lines of a job are kept or left out together by a hash of its ID above 600 lines a second, others counted by event and reason above 300; waiting lines are written together. `amaranthwell explain ID FILE...` puts the lines of one request and the beliefs of its time in order. Conclusion: a failed request is found by either of its names.

--- /dev/null
+++ b/cmd/amaranthwell/decision_log_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+)
+
+func TestDecisionLogKeepsOrDropsAllUsualLinesOfAJob(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := newDecisionLog(log.NewLogfmtLogger(&out))
+	now := time.Unix(100, 0)
+	const jobs = 2 * usualLines
+	for second := range 3 {
+		out.Reset()
+		for _, event := range []string{"job-accepted", "job-completed"} {
+			for n := range jobs {
+				l.write(now.Add(time.Duration(second)*time.Second), dispatch.Decision{Event: event, Subject: fmt.Sprintf("%016x", n), Usual: true})
+			}
+		}
+	}
+	kept := make(map[string]int)
+	for line := range strings.Lines(out.String()) {
+		if _, id, ok := strings.Cut(strings.TrimSpace(line), " id="); ok {
+			kept[id]++
+		}
+	}
+	is.True(len(kept) > 0)
+	lines := 0
+	for _, n := range kept {
+		is.Equal(n, 2) // both lines of the job, or none
+		lines += n
+	}
+	// The share of kept jobs is drawn by a hash: half as much again is far out.
+	is.True(lines <= usualLines*3/2)
+	is.True(strings.Contains(out.String(), "event=log-jobs-left-out"))
+}
+
+func TestDecisionLogSumsUpAFloodOfRefusals(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := newDecisionLog(log.NewLogfmtLogger(&out))
+	now := time.Unix(100, 0)
+	refusal := func(n int) dispatch.Decision {
+		return dispatch.Decision{Event: "job-not-run", Subject: fmt.Sprintf("%016x", n), Fields: []any{"reason", "overload"}}
+	}
+	for n := range otherLines + 5 {
+		l.write(now, refusal(n))
+	}
+	is.Equal(strings.Count(out.String(), "event=job-not-run"), otherLines)
+	out.Reset()
+	l.write(now.Add(time.Second), refusal(0))
+	first, _, _ := strings.Cut(out.String(), "\n")
+	is.Equal(first, fmt.Sprintf("event=log-lines-left-out of=job-not-run reason=overload count=5 example=%016x", otherLines))
+}
+
+// blockedOutput is an output that takes nothing.
+type blockedOutput struct{}
+
+func (blockedOutput) Write([]byte) (int, error) { select {} }
+
+func TestBlockedOutputDelaysNoDecision(t *testing.T) {
+	is := is.New(t)
+	lines := newLineWriter(blockedOutput{})
+	l := newDecisionLog(log.NewLogfmtLogger(lines))
+	const many = 10 * lineCapacity
+	for n := range many {
+		l.write(time.Unix(int64(n), 0), dispatch.Decision{Event: "job-failed", Subject: "x"})
+	}
+	is.True(lines.dropped.Load() >= many-2*lineCapacity) // all went past the blocked output
+}
+
+func BenchmarkDecisionLog(b *testing.B) {
+	logger := log.With(log.NewLogfmtLogger(newLineWriter(io.Discard)), "time", log.DefaultTimestampUTC, "instance", "entry-1")
+	l := newDecisionLog(logger)
+	for n := range b.N {
+		l.write(time.Unix(int64(n), 0), dispatch.Decision{Event: "tasks-started", Subject: "4a682232fefefc68", Usual: true, Fields: []any{
+			"runs", "0.0#1@i-e9bedafbf8 0.1#1@i-af59e0c9cb", "waiting", 0, "queued", 3, "expected", 35 * time.Millisecond, "left", 90 * time.Millisecond, "round", 0,
+		}})
+	}
+}
--- a/cmd/amaranthwell/loop.go
+++ b/cmd/amaranthwell/loop.go
@@ -58,6 +58,8 @@
 	open    sync.Map
 	links   *links
 	ends    map[dispatch.State]*metrics.Histogram
+	// decisions is the log of the control goroutine.
+	decisions *decisionLog
 }
 
 // newLoop returns a loop whose goroutine runs until ctx ends.
@@ -68,9 +70,11 @@
 		lead:    make(chan struct{}, 1),
 		callers: newWaiters[dispatch.CallerID, dispatch.End](),
 		ends:    make(map[dispatch.State]*metrics.Histogram),
+
+		decisions: newDecisionLog(cfg.Logger),
 	}
 	l.links = newLinks(l)
-	l.orders = newOrders(cfg.Workers, cfg.Metrics, l.do)
+	l.orders = newOrders(cfg.Workers, cfg.Metrics, l.do, l.decisions)
 	for _, state := range []dispatch.State{dispatch.Completed, dispatch.Failed, dispatch.NotRun, dispatch.Overdue} {
 		l.ends[state] = cfg.Metrics.NewHistogram(`amaranthwell_job_seconds{state="` + state.String() + `"}`)
 	}
@@ -101,7 +105,7 @@
 				l.takeMore(now, instance)
 			}
 			now := bootTime()
-			l.act(instance.Take(now))
+			l.act(now, instance.Take(now))
 			l.publish(now, instance)
 		}
 	}()
@@ -130,7 +134,7 @@
 }
 
 // act does what the instance wants done.
-func (l *loop) act(effects dispatch.Effects) {
+func (l *loop) act(now time.Time, effects dispatch.Effects) {
 	for _, start := range effects.Starts {
 		l.orders.start(start)
 	}
@@ -150,7 +154,7 @@
 		go l.cfg.Tables(tables)
 	}
 	for _, d := range effects.Decisions {
-		_ = l.cfg.Logger.Log(append([]any{"event", d.Event, "id", d.Subject}, d.Fields...)...)
+		l.decisions.write(now, d)
 	}
 }
 
@@ -173,6 +177,15 @@
 	}
 }
 
+// refused logs a request that did not become a job.
+func (l *loop) refused(path, request string, status int, reason string) {
+	l.do(func(now time.Time, _ *dispatch.Instance) {
+		l.decisions.write(now, dispatch.Decision{Event: "request-refused", Subject: path, Fields: []any{
+			"request", request, "status", status, "reason", reason,
+		}})
+	})
+}
+
 // Cancel ends a job. It reports whether the job was known.
 func (l *loop) Cancel(id string) bool {
 	known := false
--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -1,6 +1,6 @@
-// Command amaranthwell is the operators' command: it checks the tables of
-// routes and pools, publishes them on the platform's log, and shows what is in
-// force and what was changed.
+// Command amaranthwell runs an entry instance, and is the operators' command: it
+// checks the tables of routes and pools, publishes them, shows what is in force
+// and what was changed, and tells from logs what happened to a request.
 //
 // Exit codes:
 //
@@ -115,6 +115,9 @@
 	mustAdd(parser.AddCommand("audit", "Show the changes of the configuration",
 		"Reads the log and prints each edit: its offset, who published it, from which revision, whether it was accepted, and what it changed or why it was refused.",
 		&auditCommand{env: env}))
+	mustAdd(parser.AddCommand("explain", "Show what happened to a request",
+		"Reads the logs of instances and prints in order the lines about one request, with what the instances believed of each other, the store and the request's workers at the time.",
+		&explainCommand{env: env}))
 }
 
 // mustAdd panics if a command's options are declared wrong.
--- a/cmd/amaranthwell/orders.go
+++ b/cmd/amaranthwell/orders.go
@@ -30,9 +30,13 @@
 	lanes map[string]chan struct{}
 	// starts, stops and looks count the orders by their outcome.
 	starts, stops, looks map[dispatch.Outcome]*metrics.Counter
+	// decisions is the log of the control goroutine, and silent are the workers
+	// whose last order was not answered. Only that goroutine uses them.
+	decisions *decisionLog
+	silent    map[string]bool
 }
 
-func newOrders(workers *platform.Workers, set *metrics.Set, do func(step)) *orders {
+func newOrders(workers *platform.Workers, set *metrics.Set, do func(step), decisions *decisionLog) *orders {
 	counters := func(kind string) map[dispatch.Outcome]*metrics.Counter {
 		byOutcome := make(map[dispatch.Outcome]*metrics.Counter)
 		for o := dispatch.Unclear; o <= dispatch.NotSent; o++ {
@@ -48,6 +52,9 @@
 		starts:  counters("start"),
 		stops:   counters("stop"),
 		looks:   counters("look"),
+
+		decisions: decisions,
+		silent:    make(map[string]bool),
 	}
 }
 
@@ -78,41 +85,70 @@
 // fresh reports whether an order may still be sent.
 func fresh(o dispatch.Order) bool { return bootTime().Sub(o.Decided) < staleOrder }
 
+// send sends one order in its worker's turn, and reports its outcome.
+func (o *orders) send(order dispatch.Order, counters map[dispatch.Outcome]*metrics.Counter, call func(context.Context) (dispatch.Outcome, error), report func(time.Time, *dispatch.Instance, dispatch.Outcome)) {
+	outcome, err := dispatch.NotSent, error(nil)
+	if fresh(order) {
+		outcome, err = call(context.Background())
+	}
+	counters[outcome].Inc()
+	o.do(func(now time.Time, i *dispatch.Instance) {
+		o.note(now, order, outcome, err)
+		report(now, i, outcome)
+	})
+}
+
+// note logs the first of a row of orders to a worker that failed.
+func (o *orders) note(now time.Time, order dispatch.Order, outcome dispatch.Outcome, err error) {
+	if err == nil {
+		delete(o.silent, order.Worker)
+		return
+	}
+	if o.silent[order.Worker] {
+		return
+	}
+	o.silent[order.Worker] = true
+	o.decisions.write(now, dispatch.Decision{Event: "order-failed", Subject: order.Worker, Fields: []any{
+		"outcome", outcome, "term", order.Term, "age", now.Sub(order.Decided), "error", err,
+	}})
+}
+
 func (o *orders) start(s dispatch.Start) {
 	lane := o.lane(s.Worker)
 	go func() {
-		leave := enter(lane)
-		outcome, clock := dispatch.NotSent, time.Duration(0)
-		if fresh(s.Order) {
-			outcome, clock, _ = o.workers.Start(context.Background(), s)
-		}
-		leave()
-		o.starts[outcome].Inc()
-		o.do(func(now time.Time, i *dispatch.Instance) { i.StartDone(now, s, outcome, clock) })
+		defer enter(lane)()
+		var clock time.Duration
+		o.send(s.Order, o.starts, func(ctx context.Context) (outcome dispatch.Outcome, err error) {
+			outcome, clock, err = o.workers.Start(ctx, s)
+			return outcome, err
+		}, func(now time.Time, i *dispatch.Instance, outcome dispatch.Outcome) {
+			i.StartDone(now, s, outcome, clock)
+		})
 	}()
 }
 
 func (o *orders) stop(s dispatch.Stop) {
 	lane := o.lane(s.Worker)
 	go func() {
-		leave := enter(lane)
-		outcome, clock := dispatch.NotSent, time.Duration(0)
-		if fresh(s.Order) {
-			outcome, clock, _ = o.workers.Stop(context.Background(), s)
-		}
-		leave()
-		o.stops[outcome].Inc()
-		o.do(func(now time.Time, i *dispatch.Instance) { i.StopDone(now, s, outcome, clock) })
+		defer enter(lane)()
+		var clock time.Duration
+		o.send(s.Order, o.stops, func(ctx context.Context) (outcome dispatch.Outcome, err error) {
+			outcome, clock, err = o.workers.Stop(ctx, s)
+			return outcome, err
+		}, func(now time.Time, i *dispatch.Instance, outcome dispatch.Outcome) {
+			i.StopDone(now, s, outcome, clock)
+		})
 	}()
 }
 
 func (o *orders) look(l dispatch.Look) {
 	go func() {
-		outcome, report := dispatch.NotSent, dispatch.Report{}
-		if fresh(l.Order) {
-			outcome, report, _ = o.workers.Look(context.Background(), l)
-		}
-		o.looks[outcome].Inc()
-		o.do(func(now time.Time, i *dispatch.Instance) { i.LookDone(now, l, report, outcome) })
+		var answer dispatch.Report
+		o.send(l.Order, o.looks, func(ctx context.Context) (outcome dispatch.Outcome, err error) {
+			outcome, answer, err = o.workers.Look(ctx, l)
+			return outcome, err
+		}, func(now time.Time, i *dispatch.Instance, outcome dispatch.Outcome) {
+			i.LookDone(now, l, answer, outcome)
+		})
 	}()
 }
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -140,6 +140,7 @@
 			Tables:  s.tables.Load,
 			Now:     bootTime,
 			Closing: s.closing.Load,
+			Refused: s.loop.refused,
 		}),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		ReadTimeout:       callerReadTimeout,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -72,11 +72,6 @@
 // leading reports whether any zone is led.
 func (d *dispatcher) leading() bool { return len(d.terms) > 0 }
 
-// decide logs a decision.
-func (d *dispatcher) decide(event, subject string, fields ...any) {
-	d.effects.Decisions = append(d.effects.Decisions, Decision{Event: event, Subject: subject, Fields: fields})
-}
-
 // setTerm takes zone over with term.
 func (d *dispatcher) setTerm(now time.Time, zone string, term uint64) {
 	d.terms[zone] = term
@@ -88,13 +83,13 @@
 			w.nextLook = now
 		}
 	}
-	d.decide("zone-led", zone, "term", term)
+	d.effects.decide("zone-led", zone, "term", term)
 }
 
 // dropTerm gives zone up.
 func (d *dispatcher) dropTerm(now time.Time, zone string) {
 	delete(d.terms, zone)
-	d.decide("zone-given-up", zone)
+	d.effects.decide("zone-given-up", zone)
 	if !d.leading() {
 		d.reset()
 		return
@@ -194,7 +189,7 @@
 // give takes a job from the instance that received it.
 func (d *dispatcher) give(now time.Time, from netip.AddrPort, job Job) {
 	if _, led := d.terms[d.zoneOf(from)]; !led {
-		d.decide("job-not-taken", job.ID, "from", from, "zone", d.zoneOf(from))
+		d.effects.decide("job-not-taken", job.ID, "from", from, "zone", d.zoneOf(from))
 		return
 	}
 	if kept := d.ends[job.ID]; kept != nil {
@@ -215,7 +210,7 @@
 	j.rejoin(job)
 	if !j.suspendedAt.IsZero() {
 		j.suspendedAt, j.askedAt = time.Time{}, time.Time{}
-		d.decide("job-resumed", j.ID, "receiver", from)
+		d.effects.decide("job-resumed", j.ID, "receiver", from)
 	}
 	if len(j.waiting) > 0 {
 		d.queue.add(j)
@@ -285,7 +280,7 @@
 	}
 	w.adopt(r, t)
 	t.job.place(t)
-	d.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
+	d.effects.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
 }
 
 // taskDone notes the end of a task, and of its job if it was the last one.
@@ -317,10 +312,12 @@
 	for _, addr := range kept.receivers {
 		d.settle(now, addr, end)
 	}
-	if end.State != Completed {
-		d.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
-			"expected", j.chain, "queued", len(d.queue.jobs), "left", j.allLeft, "placed", j.placed)
+	if end.State == Completed {
+		// The receiver's line on the answer says all.
+		return
 	}
+	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
+		"expected", j.chain, "queued", len(d.queue.jobs), "left", j.allLeft, "placed", j.placed)
 }
 
 // drop forgets a job and stops what runs for it.
@@ -357,7 +354,7 @@
 	}
 	delete(j.receivers, from)
 	if len(j.receivers) == 0 {
-		d.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
+		d.effects.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
 		d.drop(now, j)
 	}
 }
--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -116,4 +116,17 @@
 	Event, Subject string
 	// Fields are the inputs, as alternating names and values.
 	Fields []any
+	// Usual says that the decision belongs to the usual way of a job, so that
+	// its line may be left out together with the job's others.
+	Usual bool
+}
+
+// decide adds a decision to be logged.
+func (e *Effects) decide(event, subject string, fields ...any) {
+	e.Decisions = append(e.Decisions, Decision{Event: event, Subject: subject, Fields: fields})
+}
+
+// usual adds a decision of the usual way of a job.
+func (e *Effects) usual(event, job string, fields ...any) {
+	e.Decisions = append(e.Decisions, Decision{Event: event, Subject: job, Fields: fields, Usual: true})
 }
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -86,17 +86,13 @@
 // believed before it stood still.
 func (i *Instance) advance(now time.Time) {
 	if gap := now.Sub(i.last); gap > wokeAfter {
-		i.decide("woke", i.cfg.Zone, "after", gap)
+		i.effects.decide("woke", i.cfg.Zone, "after", gap)
 		i.leadership.Woke(now)
 		i.followTerms(now)
 	}
 	i.last = now
 }
 
-func (i *Instance) decide(event, subject string, fields ...any) {
-	i.effects.Decisions = append(i.effects.Decisions, Decision{Event: event, Subject: subject, Fields: fields})
-}
-
 // Submit takes a job from a caller. The answer comes in an Effects.
 func (i *Instance) Submit(now time.Time, caller CallerID, job Job) {
 	i.advance(now)
@@ -135,7 +131,7 @@
 	i.advance(now)
 	if version > i.version {
 		i.version, i.tables = version, tables
-		i.decide("configuration", "tables", "version", version)
+		i.effects.decide("configuration", "tables", "version", version)
 	}
 }
 
@@ -158,7 +154,7 @@
 func (i *Instance) SetWorker(now time.Time, w Worker) {
 	i.advance(now)
 	if i.table.set(w) {
-		i.decide("worker", w.ID, "zone", w.Zone, "address", w.Address, "leaving", w.Leaving, "millicores", w.Size.Millicores)
+		i.effects.decide("worker", w.ID, "zone", w.Zone, "address", w.Address, "leaving", w.Leaving, "millicores", w.Size.Millicores)
 	}
 	i.dispatcher.setWorker(now, w)
 }
@@ -168,7 +164,7 @@
 	i.advance(now)
 	w := i.dispatcher.workers[id]
 	if w != nil && w.missing.IsZero() {
-		i.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs))
+		i.effects.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs))
 	}
 	i.dispatcher.missWorker(now, id)
 	if w != nil {
@@ -308,7 +304,7 @@
 
 // fenced gives up a zone whose workers have served a later leader.
 func (i *Instance) fenced(now time.Time, zone string) {
-	i.decide("fenced", zone, "term", i.dispatcher.terms[zone])
+	i.effects.decide("fenced", zone, "term", i.dispatcher.terms[zone])
 	i.leadership.Fenced(now, zone)
 	i.followTerms(now)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,6 +25,8 @@
 	// Spec is handed to each task.
 	Spec  string
 	Steps []Step
+	// Request is the caller's own name of its request, for the log.
+	Request string
 	// Arrived is when the job arrived from its caller, and Patience when the
 	// caller stops waiting.
 	Arrived, Patience time.Time
@@ -195,6 +197,8 @@
 	// queued says that the job stands in the leader's queue.
 	queued bool
 	late   bool
+	// waited says that a task of the job has found no place before.
+	waited bool
 }
 
 // limit is the time after which the job's end is worth nothing.
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if w.misses == 0 {
-		d.decide("worker-silent", w.ID, "zone", w.Zone, "runs", len(w.runs))
+		d.effects.decide("worker-silent", w.ID, "zone", w.Zone, "runs", len(w.runs))
 	}
 	w.misses++
 	w.nextLook = now.Add(min(missPause<<min(w.misses-1, 8), maxMissPause))
@@ -119,7 +119,7 @@
 	}
 	w.reported = l.Number
 	if w.misses > 0 {
-		d.decide("worker-back", w.ID, "misses", w.misses)
+		d.effects.decide("worker-back", w.ID, "misses", w.misses)
 	}
 	w.misses = 0
 	w.clock, w.clockAt = rep.Clock, now
@@ -128,7 +128,7 @@
 	d.takeFinished(now, w, rep.Finished)
 	d.takeRunning(now, w, rep)
 	if fresh && len(rep.Running) > 0 {
-		d.decide("worker-taken-over", w.ID, "zone", w.Zone, "running", len(rep.Running), "foreign", w.foreign)
+		d.effects.decide("worker-taken-over", w.ID, "zone", w.Zone, "running", len(rep.Running), "foreign", w.foreign)
 	}
 }
 
@@ -232,7 +232,7 @@
 		return
 	}
 	if now.Sub(r.movedAt) > stuckAfter {
-		d.decide("run-stuck", r.id.Job, "worker", w.ID, "run", r.number, "percent", percent, "still-for", now.Sub(r.movedAt))
+		d.effects.decide("run-stuck", r.id.Job, "worker", w.ID, "run", r.number, "percent", percent, "still-for", now.Sub(r.movedAt))
 		d.blame(now, w, "run-stuck")
 		r.task.avoid = w.ID
 		d.stop(now, w, r)
@@ -267,7 +267,7 @@
 
 // void ends a run that cannot be at work any more.
 func (d *dispatcher) void(now time.Time, w *worker, r *run, why string) {
-	d.decide("run-void", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", why)
+	d.effects.decide("run-void", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", why)
 	d.ended(now, w, r, EndedOther)
 }
 
@@ -312,7 +312,7 @@
 	for _, r := range w.sorted() {
 		switch {
 		case r.foreign && r.state == runStarted && now.Sub(r.since) > grace:
-			d.decide("run-unclaimed", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+			d.effects.decide("run-unclaimed", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
 			d.stop(now, w, r)
 		case r.state == runStopping && r.stopped == 0 && now.Sub(r.stopSent) > stopAgain:
 			d.stop(now, w, r)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -67,19 +68,53 @@
 
 // placeJob starts waiting tasks of j, and reports whether none is left.
 func (d *dispatcher) placeJob(now time.Time, j *activeJob) bool {
+	var runs []byte
+	defer func() {
+		if len(runs) > 0 {
+			d.effects.usual("tasks-started", j.ID, "runs", string(runs), "waiting", len(j.waiting), "queued", len(d.queue.jobs),
+				"expected", j.chain, "left", j.objective.Sub(now), "round", j.Round)
+		}
+	}()
 	for _, t := range slices.Clone(j.waiting) {
-		if d.running[t.id] != nil {
+		if other := d.running[t.id]; other != nil {
+			d.waits(now, j, "an earlier run on "+other.ID)
 			return false
 		}
 		w := d.choose(now, t)
 		if w == nil {
+			d.waits(now, j, "no room in time")
 			return false
 		}
 		d.start(now, w, t)
+		runs = t.appendRun(runs, w)
 	}
 	return true
 }
 
+// waits logs the first time that a task of j finds no place.
+func (d *dispatcher) waits(now time.Time, j *activeJob, why string) {
+	if j.waited {
+		return
+	}
+	j.waited = true
+	d.effects.usual("job-waits", j.ID, "why", why, "tasks", len(j.waiting), "queued", len(d.queue.jobs),
+		"expected", j.chain, "left", j.objective.Sub(now), "urgency", j.Urgency, "round", j.Round)
+}
+
+// appendRun appends the latest run of t on w, for the log.
+func (t *task) appendRun(runs []byte, w *worker) []byte {
+	if len(runs) > 0 {
+		runs = append(runs, ' ')
+	}
+	runs = strconv.AppendInt(runs, int64(t.id.Step), 10)
+	runs = append(runs, '.')
+	runs = strconv.AppendInt(runs, int64(t.id.Index), 10)
+	runs = append(runs, '#')
+	runs = strconv.AppendInt(runs, int64(t.number), 10)
+	runs = append(runs, '@')
+	return append(runs, w.ID...)
+}
+
 // choose returns the worker on which t is to run, or nil if t has to wait.
 func (d *dispatcher) choose(now time.Time, t *task) *worker {
 	step := &t.job.Steps[t.id.Step]
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -49,12 +49,14 @@
 	if o == nil {
 		if reason := r.refusal(now); reason != "" {
 			r.answer(caller, End{ID: job.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter})
-			r.instance.decide("job-not-run", job.ID, "route", job.Route, "reason", reason)
+			r.instance.effects.decide("job-not-run", job.ID, "request", job.Request, "route", job.Route, "reason", reason)
 			return
 		}
 		o = &openJob{job: job}
 		r.open[job.ID] = o
 	}
+	r.instance.effects.usual("job-accepted", job.ID, "request", job.Request, "route", job.Route, "tables", r.instance.version,
+		"patience", job.Patience.Sub(now), "leader", r.leader.Leader, "term", r.leader.Term, "again", len(o.callers) > 0)
 	o.job.Patience = later(o.job.Patience, job.Patience)
 	o.callers = append(o.callers, caller)
 	r.callers[caller] = job.ID
@@ -108,7 +110,7 @@
 		if r.without.IsZero() {
 			r.without = now
 			r.lostAt = claim.Heard
-			i.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", since(now, claim.Heard))
+			i.effects.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", since(now, claim.Heard))
 		}
 		if claim.Term != r.leader.Term {
 			r.leader = peer.Claim{}
@@ -122,7 +124,7 @@
 	}
 	former := r.leader.Leader
 	r.leader = claim
-	i.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
+	i.effects.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
 	settled := later(r.lostAt, now).Add(settleTime)
 	if !r.lostAt.IsZero() {
 		settled = r.lostAt.Add(settleTime)
@@ -196,6 +198,11 @@
 		r.withdraw(now, end.ID)
 	}
 	delete(r.open, end.ID)
+	note := r.instance.effects.decide
+	if end.State == Completed {
+		note = r.instance.effects.usual
+	}
+	note("job-answered", end.ID, "request", o.job.Request, "state", end.State, "reason", end.Reason, "age", now.Sub(o.job.Arrived), "leader", from)
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, end)
@@ -216,6 +223,7 @@
 	o := r.open[id]
 	o.callers = slices.DeleteFunc(o.callers, func(c CallerID) bool { return c == caller })
 	if len(o.callers) == 0 {
+		r.instance.effects.decide("job-abandoned", id, "request", o.job.Request, "age", now.Sub(o.job.Arrived), "given", o.given)
 		r.withdraw(now, id)
 	}
 }
@@ -226,6 +234,7 @@
 	if o == nil {
 		return false
 	}
+	r.instance.effects.decide("job-cancelled", id, "age", now.Sub(o.job.Arrived))
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, End{ID: id, State: Failed, Reason: "cancelled"})
@@ -248,7 +257,7 @@
 	if !o.begun {
 		end = End{ID: id, State: NotRun, Reason: reason, RetryAfter: retryAfter}
 	}
-	r.instance.decide("job-"+end.State.String(), id, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived))
+	r.instance.effects.decide("job-"+end.State.String(), id, "request", o.job.Request, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived))
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, end)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -104,7 +104,7 @@
 	}
 	t.failures++
 	t.avoid = w.ID
-	d.decide("run-failed", j.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", t.number, "failures", t.failures)
+	d.effects.decide("run-failed", j.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", t.number, "failures", t.failures)
 	if t.failures >= j.MaxAttempts {
 		d.end(now, j, End{ID: j.ID, State: Failed, Reason: "attempts"})
 		return
@@ -121,7 +121,7 @@
 	}
 	pause := min(refusedPause<<min(w.trouble+2, 10), 2*maxRefusedPause)
 	w.notBefore = now.Add(pause)
-	d.decide("worker-left-out", w.ID, "why", why, "failures", w.trouble, "for", pause)
+	d.effects.decide("worker-left-out", w.ID, "why", why, "failures", w.trouble, "for", pause)
 }
 
 // learn takes in the run time of a run that has ended well.
@@ -160,7 +160,7 @@
 			r.state = runStarted
 		}
 	case Unclear:
-		d.decide("start-unclear", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+		d.effects.decide("start-unclear", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
 		r.unsure = true
 		if r.state == runSent {
 			r.state = runUnclear
@@ -175,7 +175,7 @@
 
 // refused takes in that a worker has not started a run, and never will.
 func (d *dispatcher) refused(now time.Time, w *worker, r *run, outcome Outcome) {
-	d.decide("start-refused", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", outcome)
+	d.effects.decide("start-refused", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", outcome)
 	switch outcome {
 	case Refused:
 		d.blame(now, w, "start-refused")
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -42,10 +42,10 @@
 			}
 		case silent && j.suspendedAt.IsZero():
 			j.suspendedAt = now
-			d.decide("job-suspended", id, "placed", j.placed)
+			d.effects.decide("job-suspended", id, "placed", j.placed)
 			d.stopRuns(now, j, true)
 		case silent && now.Sub(j.suspendedAt) > dropAfter:
-			d.decide("job-dropped", id)
+			d.effects.decide("job-dropped", id)
 			d.drop(now, j)
 		}
 	}
