--- a/cmd/amaranthwell-load/bench.go
+++ b/cmd/amaranthwell-load/bench.go
@@ -64,8 +64,7 @@
 // entry instances are ready.
 func (b *bench) start(ctx context.Context) error {
 	standins := [][]string{
-		{"log", "--address", b.platform.logAddress().String()},
-		{"instances", "--address", b.platform.instancesAddress().String()},
+		{"store", "--address", b.platform.storeAddress().String()},
 		{"worker", "--servers", b.files.servers, "--control", b.platform.controlAddress().String()},
 	}
 	for _, args := range standins {
@@ -84,7 +83,7 @@
 		}
 	}
 	for i := range b.fleet.entries {
-		if err := b.startEntry(ctx, i); err != nil {
+		if err := b.startEntry(i); err != nil {
 			return err
 		}
 	}
@@ -95,7 +94,7 @@
 // answer.
 func (b *bench) register(ctx context.Context) error {
 	for _, url := range []string{
-		"http://" + b.platform.instancesAddress().String() + "/v1/instances",
+		"http://" + b.platform.storeAddress().String() + "/log-newest?part=0&topic=" + serverTopic,
 		"http://" + b.platform.controlAddress().String() + "/v1/starts",
 	} {
 		err := poll(ctx, url, func() bool {
@@ -107,7 +106,7 @@
 		}
 	}
 	for _, s := range b.fleet.servers {
-		if err := b.platform.list(ctx, s.address, "backend", s.zone, false); err != nil {
+		if err := b.platform.list(ctx, s.address, s.zone, stateReady); err != nil {
 			return err
 		}
 	}
@@ -119,7 +118,7 @@
 func (b *bench) publish(ctx context.Context) error {
 	return poll(ctx, "publishing the tables", func() bool {
 		p, err := startProcess(b.dir, "publish", filepath.Join(b.bin, "amaranthwell"), "publish",
-			"--log", "http://"+b.platform.logAddress().String(), "--author", "load", b.files.routes, b.files.pools)
+			"--log", "http://"+b.platform.storeAddress().String(), "--author", "load", b.files.routes, b.files.pools)
 		if err != nil {
 			return false
 		}
@@ -128,18 +127,14 @@
 	})
 }
 
-// startEntry starts entry instance i and puts it on the platform's list.
-func (b *bench) startEntry(ctx context.Context, i int) error {
+// startEntry starts entry instance i, which puts itself on the list.
+func (b *bench) startEntry(i int) error {
 	program, args, err := b.entryProgram(i)
 	if err != nil {
 		return err
 	}
 	b.entries[i], err = startProcess(b.dir, entryName(i), program, args...)
-	if err != nil {
-		return err
-	}
-	e := b.fleet.entries[i]
-	return b.platform.list(ctx, e.peer, "entry", e.zone, false)
+	return err
 }
 
 func (b *bench) waitReady(ctx context.Context) error {
--- a/cmd/amaranthwell-load/faults.go
+++ b/cmd/amaranthwell-load/faults.go
@@ -74,7 +74,7 @@
 // leaveServers lists every tenth backend server as leaving and has it say so.
 func leaveServers(ctx context.Context, b *bench) error {
 	for _, s := range faultyServers(b.fleet) {
-		if err := b.platform.list(ctx, s.address, "backend", s.zone, true); err != nil {
+		if err := b.platform.list(ctx, s.address, s.zone, stateLeaving); err != nil {
 			return err
 		}
 		if err := b.platform.setFault(ctx, s.address, fault{Leaving: true}); err != nil {
@@ -101,7 +101,7 @@
 }
 
 func restartEntry(ctx context.Context, b *bench) error {
-	if err := b.startEntry(ctx, faultEntry); err != nil {
+	if err := b.startEntry(faultEntry); err != nil {
 		return err
 	}
 	return b.waitEntryReady(ctx, faultEntry)
@@ -121,17 +121,13 @@
 	return nil
 }
 
-// replaceEntry replaces entry instance i as the platform does: it is listed as
-// leaving, told to stop, and started again.
+// replaceEntry replaces entry instance i as the platform does: it is told to stop,
+// and started again.
 func replaceEntry(ctx context.Context, b *bench, i int) error {
-	e := b.fleet.entries[i]
-	if err := b.platform.list(ctx, e.peer, "entry", e.zone, true); err != nil {
-		return err
-	}
 	if !b.entries[i].stop(leaveTimeout) {
 		return errors.Newf("%s did not end by itself after SIGTERM", entryName(i))
 	}
-	if err := b.startEntry(ctx, i); err != nil {
+	if err := b.startEntry(i); err != nil {
 		return err
 	}
 	return b.waitEntryReady(ctx, i)
--- a/cmd/amaranthwell-load/fleet.go
+++ b/cmd/amaranthwell-load/fleet.go
@@ -22,13 +22,12 @@
 
 // Ports of the fleet's processes on their loopback numbers.
 const (
-	serverPort    = 6000
-	peerPort      = 7000
-	callerPort    = 8080
-	operatorPort  = 9090
-	logPort       = 7100
-	instancesPort = 7200
-	controlPort   = 7300
+	serverPort   = 6000
+	peerPort     = 7000
+	callerPort   = 8080
+	operatorPort = 9090
+	storePort    = 7100
+	controlPort  = 7300
 )
 
 // speedSeed makes the speeds of a fleet the same in every run.
--- a/cmd/amaranthwell-load/platform.go
+++ b/cmd/amaranthwell-load/platform.go
@@ -25,28 +25,33 @@
 	return &platform{client: &http.Client{Timeout: controlTimeout}, host: host}
 }
 
-func (p *platform) logAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, logPort) }
+func (p *platform) storeAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, storePort) }
 
-func (p *platform) instancesAddress() netip.AddrPort {
-	return netip.AddrPortFrom(p.host, instancesPort)
+func (p *platform) controlAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, controlPort) }
+
+// record returns the URL of a record of the store's stand-in.
+func (p *platform) record(topic string, addr netip.AddrPort) string {
+	return "http://" + p.storeAddress().String() + "/v1/records/" + topic + "/" + addr.String()
 }
 
-func (p *platform) controlAddress() netip.AddrPort { return netip.AddrPortFrom(p.host, controlPort) }
+// The topics of the store, and the states of a worker there.
+const (
+	serverTopic  = "keyed.servers"
+	memberTopic  = "keyed.members"
+	stateReady   = "ready"
+	stateLeaving = "draining"
+)
 
-// list puts an instance on the platform's list.
-func (p *platform) list(ctx context.Context, addr netip.AddrPort, kind, zone string, leaving bool) error {
-	url := "http://" + p.instancesAddress().String() + "/v1/instances/" + addr.String()
-	return p.send(ctx, http.MethodPut, url, struct {
-		Kind    string `json:"kind"`
-		Zone    string `json:"zone"`
-		Leaving bool   `json:"leaving"`
-	}{kind, zone, leaving})
+// list puts a backend server on the platform's list.
+func (p *platform) list(ctx context.Context, addr netip.AddrPort, zone, state string) error {
+	return p.send(ctx, http.MethodPut, p.record(serverTopic, addr), map[string]any{
+		"service": "load", "address": addr, "zone": zone, "state": state, "capacity": map[string]int{"cpu": 1},
+	})
 }
 
-// unlist takes an instance off the platform's list.
+// unlist takes an entry instance off the platform's list.
 func (p *platform) unlist(ctx context.Context, addr netip.AddrPort) error {
-	url := "http://" + p.instancesAddress().String() + "/v1/instances/" + addr.String()
-	return p.send(ctx, http.MethodDelete, url, nil)
+	return p.send(ctx, http.MethodDelete, p.record(memberTopic, addr), nil)
 }
 
 // A fault is what a backend server is told to do wrong.
--- a/cmd/amaranthwell-load/settings.go
+++ b/cmd/amaranthwell-load/settings.go
@@ -42,8 +42,8 @@
 		CallerAddress:   e.caller.String(),
 		OperatorAddress: e.operator.String(),
 		Zone:            e.zone,
-		Log:             "http://" + b.platform.logAddress().String(),
-		Instances:       "http://" + b.platform.instancesAddress().String(),
+		Log:             "http://" + b.platform.storeAddress().String(),
+		Instances:       "http://" + b.platform.storeAddress().String(),
 	}
 }
 
--- a/cmd/amaranthwell-slopes/daemon.sh
+++ b/cmd/amaranthwell-slopes/daemon.sh
@@ -13,8 +13,7 @@
 window=10
 settle=3
 output=docs/slopes-daemon.toml
-log=http://127.0.77.1:7100
-instances=http://127.0.77.1:7200
+store=http://127.0.77.1:7100
 dir=bin/slopes-daemon
 mkdir -p "$dir"
 started=()
@@ -40,7 +39,7 @@
 }
 settings() {
   printf 'peer-address = "127.0.77.1%d:7000"\ncaller-address = "127.0.77.1%d:8080"\n' "$1" "$1"
-  printf 'operator-address = "127.0.77.1%d:9090"\nzone = "hr-north-a"\nlog = "%s"\ninstances = "%s"\n' "$1" "$log" "$instances"
+  printf 'operator-address = "127.0.77.1%d:9090"\nzone = "hr-north-a"\nlog = "%s"\ninstances = "%s"\n' "$1" "$store" "$store"
 }
 entry() {
   settings "$1" >"$dir/entry-$1.toml"
@@ -50,13 +49,14 @@
 list() {
   local n
   for n in $(seq 0 $((workers - 1))); do
-    printf 'next\nurl = "%s/v1/instances/%s"\nrequest = "PUT"\n' "$instances" "$(address "$n")"
-    printf 'data = "{\\"kind\\":\\"backend\\",\\"zone\\":\\"%s\\"}"\nsilent\n' "$(zone "$n")"
+    printf 'next\nurl = "%s/v1/records/keyed.servers/%s"\nrequest = "PUT"\n' "$store" "$(address "$n")"
+    printf 'data = "{\\"service\\":\\"editing\\",\\"address\\":\\"%s\\",\\"zone\\":\\"%s\\",' "$(address "$n")" "$(zone "$n")"
+    printf '\\"state\\":\\"ready\\",\\"capacity\\":{\\"cpu\\":16000}}"\nsilent\n'
   done | tail -n +2 | curl -K - >/dev/null
 }
 publish() {
   routes "$1" >"$dir/routes.toml"
-  bin/amaranthwell publish --log "$log" --author workshop "$dir/routes.toml" "$dir/pools.toml" >>"$dir/publish.log"
+  bin/amaranthwell publish --log "$store" --author workshop "$dir/routes.toml" "$dir/pools.toml" >>"$dir/publish.log"
 }
 
 # milliseconds PID prints the processor time that a process has used.
@@ -75,9 +75,7 @@
 }
 
 pools >"$dir/pools.toml"
-bin/amaranthwell-standin log --address 127.0.77.1:7100 >"$dir/log.log" 2>&1 &
-started+=($!)
-bin/amaranthwell-standin instances --address 127.0.77.1:7200 >"$dir/instances.log" 2>&1 &
+bin/amaranthwell-standin store --address 127.0.77.1:7100 >"$dir/store.log" 2>&1 &
 started+=($!)
 sleep 1
 entry 1
--- a/cmd/amaranthwell-slopes/fleet.go
+++ b/cmd/amaranthwell-slopes/fleet.go
@@ -9,7 +9,6 @@
 	"github.com/google/uuid"
 
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
 )
@@ -96,11 +95,11 @@
 	return i
 }
 
-func newList(peers int, zoneOf func(int) string) logservice.List {
-	var l logservice.List
+func newList(peers int, zoneOf func(int) string) peer.List {
+	var l peer.List
 	for n := range peers {
-		l.Instances = append(l.Instances, logservice.Instance{
-			Address: instanceAddress(n), Kind: logservice.EntryInstance, Zone: zoneOf(n),
+		l.Instances = append(l.Instances, peer.Instance{
+			Address: instanceAddress(n), Kind: peer.EntryInstance, Zone: zoneOf(n),
 		})
 	}
 	return l
--- a/cmd/amaranthwell-slopes/traffic.go
+++ b/cmd/amaranthwell-slopes/traffic.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/platform"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
@@ -24,23 +25,24 @@
 
 // listByInstances measures one reading of the platform's list over loopback.
 func listByInstances() []slope {
-	wire := slope{Name: "list-bytes-by-instances", What: "body of the platform's list of entry instances and backend servers", Unit: "bytes", By: "instance"}
+	wire := slope{Name: "list-bytes-by-instances", What: "body of the store's entries of backend servers", Unit: "bytes", By: "instance"}
 	spent := slope{Name: "list-time-by-instances", What: "logservice.ListClient.List, with the stand-in that answers, over loopback", Unit: "ns", By: "instance"}
 	for _, n := range workerSizes {
-		instances := standin.NewInstances(standin.InstancesConfig{})
+		store := standin.NewStore(standin.StoreConfig{})
 		for at := range n {
-			instances.Put(standin.Instance{Address: serverAddress(at), Kind: string(logservice.BackendServer), Zone: zoneName(at)})
+			worker := standin.NewLeasedWorker(standin.LeasedWorkerConfig{Tasks: 1})
+			store.Put(platform.WorkerTopic, serverAddress(at).String(), worker.Entry("editing", serverAddress(at).String(), zoneName(at)))
 		}
-		server := httptest.NewServer(instances)
+		server := httptest.NewServer(store)
 		client, err := logservice.NewListClient(logservice.ListConfig{URL: server.URL})
 		if err != nil {
 			panic(err)
 		}
 		recorder := httptest.NewRecorder()
-		instances.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/instances", http.NoBody))
+		store.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/log-newest?part=0&topic="+platform.WorkerTopic, http.NoBody))
 		wire.add(n, float64(recorder.Body.Len()))
 		spent.add(n, nanosOf(func() {
-			if _, err := client.List(context.Background()); err != nil {
+			if _, err := client.List(context.Background(), start); err != nil {
 				panic(err)
 			}
 		}))
--- a/cmd/amaranthwell-standin/main.go
+++ b/cmd/amaranthwell-standin/main.go
@@ -1,6 +1,5 @@
-// Command amaranthwell-standin runs a stand-in for one part of the platform:
-// the log, the list of instances, or a worker with backend servers. It ends
-// at SIGINT and SIGTERM.
+// Command amaranthwell-standin runs a stand-in for one part of the platform: the
+// metadata store, or a worker with backend servers. It ends at SIGINT and SIGTERM.
 package main
 
 import (
@@ -18,8 +17,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	mustAdd(parser, "log", "Run the append-only log.", &logCommand{ctx: ctx})
-	mustAdd(parser, "instances", "Run the list of instances.", &instancesCommand{ctx: ctx})
+	mustAdd(parser, "store", "Run the metadata store.", &storeCommand{ctx: ctx})
 	mustAdd(parser, "worker", "Run a worker with backend servers.", &workerCommand{ctx: ctx})
 	mustAdd(parser, "request", "Make one HTTP request and print the answer.", &requestCommand{ctx: ctx})
 	if _, err := parser.Parse(); err != nil {
--- a/cmd/amaranthwell/entry.go
+++ b/cmd/amaranthwell/entry.go
@@ -81,6 +81,7 @@
 	backends *backend.Client
 	current  atomic.Pointer[operator.Current]
 	ready    atomic.Bool
+	leaving  atomic.Bool
 	metrics  *metrics.Set
 }
 
@@ -191,9 +192,11 @@
 func (d *daemon) drain(callers *http.Server) {
 	_ = d.logger.Log("event", "leaving")
 	d.ready.Store(false)
+	d.leaving.Store(true)
 	d.control.ask(func(now time.Time, i *entry.Instance) { i.Leave(now) })
 	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
 	defer cancel()
+	d.announce(ctx)
 	for ctx.Err() == nil {
 		drained := false
 		d.control.ask(func(now time.Time, i *entry.Instance) { drained = i.Drained(now) })
@@ -207,18 +210,29 @@
 	_ = d.logger.Log("event", "ended")
 }
 
-// followList gives the platform's list to the instance, again and again.
+// followList keeps the instance on the list, and gives the list to the instance,
+// again and again.
 func (d *daemon) followList(ctx context.Context) {
 	ticker := time.NewTicker(listEvery)
 	defer ticker.Stop()
+	listed := true
+	var announced time.Time
 	for {
-		list, err := d.list.List(ctx)
+		if now := time.Now(); now.Sub(announced) >= logservice.AnnounceEvery {
+			d.announce(ctx)
+			announced = now
+		}
+		list, err := d.list.List(ctx, time.Now())
 		if err == nil {
 			d.control.do(func(now time.Time, i *entry.Instance) {
 				i.SetList(now, list)
 				d.ready.Store(i.Ready())
 			})
 		}
+		if (err == nil) != listed {
+			listed = err == nil
+			_ = d.logger.Log("event", "list-read", "good", listed, "err", err)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -227,6 +241,14 @@
 	}
 }
 
+// announce puts the instance on the list.
+func (d *daemon) announce(ctx context.Context) {
+	self := peer.Instance{Address: d.settings.PeerAddress, Kind: peer.EntryInstance, Zone: d.settings.Zone, Leaving: d.leaving.Load()}
+	if err := d.list.Announce(ctx, self); err != nil && ctx.Err() == nil {
+		_ = d.logger.Log("event", "announcement-failed", "leaving", self.Leaving, "err", err)
+	}
+}
+
 func (d *daemon) operatorHandler() http.Handler {
 	return operator.NewHandler(operator.HandlerConfig{Instance: d, Metrics: d.metrics})
 }
--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -188,11 +188,7 @@
 // joinMembers makes this instance known in the store, and the others known
 // here.
 func (s *service) joinMembers(ctx context.Context) error {
-	value, err := platform.EncodeMember(s.node.Zone)
-	if err != nil {
-		return err
-	}
-	if err := s.store.Append(ctx, platform.MemberTopic, s.node.Peers.String(), value); err != nil {
+	if err := s.store.AppendMember(ctx, platform.Member{Address: s.node.Peers, Zone: s.node.Zone}); err != nil {
 		return err
 	}
 	records, _, err := s.store.Newest(ctx, platform.MemberTopic)
@@ -204,12 +200,12 @@
 		if r.Dropped {
 			continue
 		}
-		addr, zone, err := platform.DecodeMember(r)
+		member, err := platform.DecodeMember(r)
 		if err != nil {
 			_ = s.logger.Log("event", "member-entry-unreadable", "id", r.Key, "error", err)
 			continue
 		}
-		s.loop.do(func(now time.Time, i *dispatch.Instance) { i.AddMember(now, addr, zone) })
+		s.loop.do(func(now time.Time, i *dispatch.Instance) { i.AddMember(now, member.Address, member.Zone) })
 	}
 	return nil
 }
--- a/cmd/amaranthwell/main_test.go
+++ b/cmd/amaranthwell/main_test.go
@@ -2,18 +2,17 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/standin"
 )
 
 const tablesFile = `
@@ -34,51 +33,8 @@
 memory-mib = 65536
 `
 
-// logServer is the platform's log in memory, over HTTP.
-type logServer struct {
-	mutex   sync.Mutex
-	records [][]byte
-	first   int
-	// down makes every call fail, lost every append after it took effect.
-	down, lost bool
-}
-
-func (l *logServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.down || r.URL.Path != "/v1/streams/configuration/records" {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if r.Method == http.MethodPost {
-		var body bytes.Buffer
-		_, _ = body.ReadFrom(r.Body)
-		l.records = append(l.records, body.Bytes())
-		if l.lost {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		_ = json.NewEncoder(w).Encode(map[string]int{"offset": len(l.records)})
-		return
-	}
-	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	from = max(from, l.first)
-	records := []any{}
-	for i := from; i <= len(l.records); i++ {
-		records = append(records, map[string]any{"offset": i, "body": l.records[i-1]})
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"first": l.first, "next": len(l.records) + 1, "records": records})
-}
-
-// set changes the faults of the log from now on.
-func (l *logServer) set(down, lost bool, first int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.down, l.lost, l.first = down, lost, first
-}
-
 type bench struct {
-	log     *logServer
+	store   *standin.Store
 	url     string
 	valid   string
 	changed string
@@ -86,8 +42,8 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{log: &logServer{first: 1}}
-	server := httptest.NewServer(b.log)
+	b := &bench{store: standin.NewStore(standin.StoreConfig{})}
+	server := httptest.NewServer(b.store)
 	t.Cleanup(server.Close)
 	b.url = server.URL
 	write := func(name, old, with string) string {
@@ -143,7 +99,7 @@
 		is.Equal(code, test.code)
 		is.True(strings.Contains(out, test.want))
 	}
-	is.New(t).Equal(len(b.log.records), 0) // None of these published anything.
+	is.New(t).Equal(b.store.End(operator.Stream), int64(0)) // None of these published anything.
 }
 
 func TestPublishShowAudit(t *testing.T) {
@@ -181,32 +137,31 @@
 func TestPublishUnknown(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
-	b.log.set(true, false, 1)
+	b.store.SetDown(true)
 	code, out := b.run("publish", "--log", "URL", "--author", "ana", "--timeout", "1ms", b.valid)
 	is.Equal(code, 3)
 	is.True(strings.Contains(out, "repeat with --edit-id"))
 	id := regexp.MustCompile(`^edit-id: (\S+)\n`).FindStringSubmatch(out)[1]
 
-	b.log.set(false, false, 1)
+	b.store.SetDown(false)
 	for range 2 {
 		code, out = b.run("publish", "--log", "URL", "--author", "ana", "--edit-id", id, b.valid)
 		is.Equal(code, 0)
 		is.True(strings.Contains(out, "accepted: revision 1 at offset 1"))
 	}
-	is.Equal(len(b.log.records), 1)
+	is.Equal(b.store.End(operator.Stream), int64(1))
 
-	b.log.set(false, true, 1)
+	b.store.SetFaults(standin.StoreFaults{LoseAnswers: 1})
 	code, out = b.run("publish", "--log", "URL", "--author", "ana", b.changed)
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "accepted: revision 2 at offset 2"))
 
-	b.log.set(false, true, 3) // The log has lost what it held, and no snapshot was published.
+	b.store.Expire(operator.Stream, 2) // The log has lost what it held, and no snapshot was published.
 	for _, command := range []string{"show", "audit"} {
 		code, out = b.run(command, "--log", "URL")
 		is.Equal(code, 3)
 		is.True(strings.Contains(out, "no snapshot"))
 	}
-	b.log.set(false, false, 3)
 	code, out = b.run("publish", "--log", "URL", "--author", "ana", "--reset", b.changed)
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "accepted: revision 3 at offset 3"))
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -84,7 +84,7 @@
 	return &service{
 		node:    node,
 		logger:  logger,
-		store:   platform.NewStore(node.Store),
+		store:   platform.NewStore(node.Store.String()),
 		metrics: metrics.NewSet(),
 	}
 }
--- a/cmd/amaranthwell/serve_test.go
+++ b/cmd/amaranthwell/serve_test.go
@@ -25,7 +25,7 @@
 
 // A stage is a store, workers and entry instances on loopback.
 type stage struct {
-	store   *standin.MetaStore
+	store   *standin.Store
 	workers []*standin.LeasedWorker
 	nodes   []platform.Node
 	stops   []context.CancelFunc
@@ -36,7 +36,7 @@
 func newStage(t *testing.T) *stage {
 	t.Helper()
 	is := is.New(t)
-	s := &stage{store: standin.NewMetaStore()}
+	s := &stage{store: standin.NewStore(standin.StoreConfig{})}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
 	s.store.Put(platform.OperatorTopic, platform.ConfigurationKey, []byte(`{"version":1,"routes":[
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -220,7 +220,6 @@
 		n.awaitReady(fresh[i])
 		current.Store(i, fresh[i])
 		n.is.NoErr(n.entries[e].Process.Signal(syscall.SIGTERM))
-		n.listInstance("entry", n.address(e, 7000), zones[e%2], true)
 	}
 	for _, e := range old {
 		n.is.NoErr(n.entries[e].Wait()) // it ends by itself, with the exit code 0
@@ -275,9 +274,8 @@
 	}
 	n.await("starts on both servers", func() bool { l, s := round(); return l > 0 && s > 0 })
 
-	n.listInstance("backend", n.address(listed, 9000), zones[0], true)
+	n.listServer(n.address(listed, 9000), zones[0], "draining")
 	n.put(n.workers[2]+"/v1/faults", map[string]any{"leaving": true})
-	n.await("the list", func() bool { return n.listedLeaving(n.address(listed, 9000)) })
 	said := time.Now()
 	n.await("no start on a leaving server", func() bool { l, s := round(); return l == 0 && s == 0 })
 	n.t.Logf("no start in a whole round that ended %v after the list said so", time.Since(said))
--- a/demo/processes_test.go
+++ b/demo/processes_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/platform"
 )
 
 // Times of the tests. None decides a verdict but by running out.
@@ -26,7 +28,8 @@
 var zones = []string{"zone-a", "zone-b"}
 
 // A network is one loopback network: stand-ins of the platform and its workers,
-// and entry instances.
+// and entry instances. The log and the list lie in stores of their own, so that
+// one can fail without the other.
 type network struct {
 	t        *testing.T
 	is       *is.I
@@ -43,10 +46,11 @@
 // newNetwork starts the platform's stand-ins at 127.30.number.0/24.
 func newNetwork(t *testing.T, programs string, number int) *network {
 	n := &network{t: t, is: is.New(t), programs: programs, dir: t.TempDir(), number: number, timeout: patience, entries: map[int]*exec.Cmd{}}
-	n.start("log", "amaranthwell-standin", "log", "--address", n.address(1, 7100))
-	n.start("instances", "amaranthwell-standin", "instances", "--address", n.address(1, 7200), "--lag", "1s")
-	n.await("the log", func() bool { return n.get(n.log()+"/v1/streams/readiness/records", nil) })
-	n.await("the list", func() bool { return n.get(n.list(), nil) })
+	n.start("log", "amaranthwell-standin", "store", "--address", n.address(1, 7100))
+	n.start("instances", "amaranthwell-standin", "store", "--address", n.address(1, 7200))
+	const readiness = "/log-newest?part=0&topic=" + platform.WorkerTopic
+	n.await("the log", func() bool { return n.get(n.log()+readiness, nil) })
+	n.await("the list", func() bool { return n.get(n.list()+readiness, nil) })
 	return n
 }
 
@@ -56,7 +60,7 @@
 
 func (n *network) url(host, port int) string { return "http://" + n.address(host, port) }
 func (n *network) log() string               { return n.url(1, 7100) }
-func (n *network) list() string              { return n.url(1, 7200) + "/v1/instances" }
+func (n *network) list() string              { return n.url(1, 7200) }
 
 // start starts a program that is killed when the test ends.
 func (n *network) start(name, program string, args ...string) *exec.Cmd {
@@ -86,18 +90,17 @@
 	n.workers = append(n.workers, "http://"+control)
 	n.await("worker", func() bool { return n.get("http://"+control+"/v1/starts", nil) })
 	for i := range count {
-		n.listInstance("backend", n.address(host+i, 9000), zones[i%2], false)
+		n.listServer(n.address(host+i, 9000), zones[i%2], "ready")
 	}
 }
 
-// startEntry starts the entry instance of a number, and lists it.
+// startEntry starts the entry instance of a number, which lists itself.
 func (n *network) startEntry(number int) {
 	file := filepath.Join(n.dir, fmt.Sprintf("entry-%d.toml", number))
 	text := fmt.Sprintf("peer-address = %q\ncaller-address = %q\noperator-address = %q\nzone = %q\nlog = %q\ninstances = %q\n",
-		n.address(number, 7000), n.address(number, 8080), n.address(number, 9090), zones[number%2], n.log(), n.url(1, 7200))
+		n.address(number, 7000), n.address(number, 8080), n.address(number, 9090), zones[number%2], n.log(), n.list())
 	n.is.NoErr(os.WriteFile(file, []byte(text), 0o600))
 	n.entries[number] = n.start(fmt.Sprint("entry-", number, "-", time.Now().UnixNano()), "amaranthwell", "entry", "--settings", file)
-	n.listInstance("entry", n.address(number, 7000), zones[number%2], false)
 }
 
 // startEntries starts entry instances, and waits until each is ready and knows
@@ -133,26 +136,11 @@
 	return -1
 }
 
-// listInstance puts an instance into the platform's list.
-func (n *network) listInstance(kind, address, zone string, leaving bool) {
-	n.put(n.list()+"/"+address, map[string]any{"kind": kind, "zone": zone, "leaving": leaving})
-}
-
-// listedLeaving reports whether the platform's list says that address leaves.
-func (n *network) listedLeaving(address string) bool {
-	var list struct {
-		Instances []struct {
-			Address string `json:"address"`
-			Leaving bool   `json:"leaving"`
-		} `json:"instances"`
-	}
-	n.get(n.list(), &list)
-	for _, i := range list.Instances {
-		if i.Address == address {
-			return i.Leaving
-		}
-	}
-	return false
+// listServer puts a backend server into the platform's list.
+func (n *network) listServer(address, zone, state string) {
+	n.put(n.list()+"/v1/records/"+platform.WorkerTopic+"/"+address, map[string]any{
+		"service": "editing", "address": address, "zone": zone, "state": state, "capacity": map[string]int{"cpu": 1},
+	})
 }
 
 // put puts a JSON body.
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -5,12 +5,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-log=http://127.0.0.1:7100
-instances=http://127.0.0.1:7200
-control=http://127.0.0.1:9001
+# Demonstrations that run at once have networks of their own.
+net=127.$((100 + $$ % 100))
+store=http://$net.0.1:7100
+control=http://$net.0.1:9001
 entries=8
 ready_seconds=30
-leave_seconds=45
+leave_seconds=10
 
 dir=$(mktemp -d)
 standins=()
@@ -42,8 +43,15 @@
   local status=$?
   trap - EXIT INT TERM
   end "${submitters[@]}"
-  echo "ending the entry instances, which wait until no key of theirs may be used any more" >&2
-  end "${daemons[@]}"
+  # After SIGTERM they would wait until no key of theirs may be used any more.
+  local pid
+  for pid in "${daemons[@]}"; do
+    if running "$pid"; then
+      # The shell would report the death of a job of its own.
+      disown "$pid"
+      kill -KILL "$pid"
+    fi
+  done
   end "${standins[@]}"
   wait
   if [ "$status" -eq 0 ]; then rm -rf "$dir"; else echo "logs: $dir" >&2; fi
@@ -94,23 +102,21 @@
 # settings N prints the settings of the N-th entry instance.
 settings() {
   cat <<SETTINGS
-peer-address = "127.0.2.$1:7000"
-caller-address = "127.0.2.$1:8080"
-operator-address = "127.0.2.$1:9090"
+peer-address = "$net.2.$1:7000"
+caller-address = "$net.2.$1:8080"
+operator-address = "$net.2.$1:9090"
 zone = "$(zone "$1")"
-log = "$log"
-instances = "$instances"
+log = "$store"
+instances = "$store"
 SETTINGS
 }
 
-start log bin/amaranthwell-standin log
-standins+=($!)
-start instances bin/amaranthwell-standin instances
+start store bin/amaranthwell-standin store --address "$net.0.1:7100"
 standins+=($!)
-start worker bin/amaranthwell-standin worker --count 50 --slots 8 --connections 64
+start worker bin/amaranthwell-standin worker --count 50 --slots 8 --connections 64 \
+  --first-address "$net.1.1:9000" --control "$net.0.1:9001"
 standins+=($!)
-await "$log/v1/streams/readiness/records"
-await "$instances/v1/instances"
+await "$store/log-newest?topic=keyed.members&part=0"
 await "$control/v1/starts"
 check_started
 
@@ -118,12 +124,10 @@
   settings "$n" >"$dir/entry-$n.toml"
   start "entry-$n" bin/amaranthwell entry --settings "$dir/entry-$n.toml"
   daemons+=($!)
-  bin/amaranthwell-standin request --method PUT \
-    --body "{\"kind\":\"entry\",\"zone\":\"$(zone "$n")\"}" \
-    "$instances/v1/instances/127.0.2.$n:7000"
 done
-bin/amaranthwell publish --log "$log" --author demo demo/routes.toml demo/pools.toml
-for n in $(seq $entries); do await "http://127.0.2.$n:9090/ready"; done
+sed "s/127\.0\.1\./$net.1./" demo/pools.toml >"$dir/pools.toml"
+bin/amaranthwell publish --log "$store" --author demo demo/routes.toml "$dir/pools.toml"
+for n in $(seq $entries); do await "http://$net.2.$n:9090/ready"; done
 check_started
 
 # Each job is: entry instance, route, number of tasks.
@@ -134,7 +138,7 @@
 )
 for i in "${!jobs[@]}"; do
   read -r n route tasks <<<"${jobs[$i]}"
-  start "job-$i" bin/amaranthwell submit --entry "http://127.0.2.$n:8080" \
+  start "job-$i" bin/amaranthwell submit --entry "http://$net.2.$n:8080" \
     --route "$route" --tasks "$tasks" --payload "run-time=100ms"
   submitters+=($!)
 done
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // changesOf returns the changes that a node of the world reported about what.
@@ -26,8 +26,8 @@
 	w := newWorld(9, 2, 3)
 	w.run(settle)
 	w.kill(instanceAddress(1))
-	w.list.Instances = append(w.list.Instances, logservice.Instance{
-		Address: serverAddress(0), Kind: logservice.BackendServer, Zone: zoneOf(0), Leaving: true,
+	w.list.Instances = append(w.list.Instances, peer.Instance{
+		Address: serverAddress(0), Kind: peer.BackendServer, Zone: zoneOf(0), Leaving: true,
 	})
 	w.setList(w.list)
 	w.run(10 * time.Second)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/caller"
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
 )
@@ -52,7 +51,7 @@
 	// issued is when the last key was issued.
 	issued time.Time
 	// listed is the platform's list as last seen.
-	listed logservice.List
+	listed peer.List
 	counts Counts
 	// changes holds the states that operators were last told of.
 	changes changes
@@ -104,7 +103,7 @@
 }
 
 // SetList takes the platform's list as seen at now.
-func (i *Instance) SetList(now time.Time, list logservice.List) {
+func (i *Instance) SetList(now time.Time, list peer.List) {
 	i.listed = list
 	i.members.SetList(now, list)
 	i.markLeaving(now)
--- a/entry/instance_test.go
+++ b/entry/instance_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // settle is the time in which the instances of a world come to know each other:
@@ -99,8 +99,8 @@
 	w := newWorld(4, 3, 6)
 	w.run(settle)
 	leaving := serverAddress(2)
-	w.list.Instances = append(w.list.Instances, logservice.Instance{
-		Address: leaving, Kind: logservice.BackendServer, Zone: zoneOf(2), Leaving: true,
+	w.list.Instances = append(w.list.Instances, peer.Instance{
+		Address: leaving, Kind: peer.BackendServer, Zone: zoneOf(2), Leaving: true,
 	})
 	w.setList(w.list)
 	told := w.now
--- a/entry/matrix_places_test.go
+++ b/entry/matrix_places_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 func networkFaults() []fault {
@@ -33,12 +33,12 @@
 		{name: "list with two holders", harmless: true, apply: func(c *cell) {
 			list := c.list
 			c.hideList(cellNodesBut(joinerRole))
-			c.changeList(holderRole, logservice.EntryInstance, true)
+			c.changeList(holderRole, peer.EntryInstance, true)
 			c.after(listLag, func() { c.showList(list) })
 		}},
 		{name: "list with a live holder leaving", harmless: true, apply: func(c *cell) {
 			list := c.list
-			c.changeList(holderRole, logservice.EntryInstance, true)
+			c.changeList(holderRole, peer.EntryInstance, true)
 			c.after(listLag, func() { c.setList(list) })
 		}},
 		{name: "list without the live holder", harmless: true, apply: func(c *cell) { c.unlist(holderRole) }},
@@ -57,10 +57,10 @@
 }
 
 // changeList says that the instance at addr leaves, or stays.
-func (c *cell) changeList(addr netip.AddrPort, kind logservice.Kind, leaving bool) {
+func (c *cell) changeList(addr netip.AddrPort, kind peer.Kind, leaving bool) {
 	list := c.list
-	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(i logservice.Instance) bool { return i.Address == addr })
-	list.Instances = append(list.Instances, logservice.Instance{
+	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(i peer.Instance) bool { return i.Address == addr })
+	list.Instances = append(list.Instances, peer.Instance{
 		Address: addr, Kind: kind, Zone: zoneOfAddress(addr), Leaving: leaving,
 	})
 	c.setList(list)
@@ -72,7 +72,7 @@
 // unlist takes the instance at addr out of the list for good.
 func (c *cell) unlist(addr netip.AddrPort) {
 	list := c.list
-	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(i logservice.Instance) bool { return i.Address == addr })
+	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(i peer.Instance) bool { return i.Address == addr })
 	c.setList(list)
 }
 
@@ -83,7 +83,7 @@
 }
 
 // showList gives all nodes a list again.
-func (c *cell) showList(list logservice.List) {
+func (c *cell) showList(list peer.List) {
 	clear(c.unseen)
 	c.setList(list)
 }
@@ -92,7 +92,7 @@
 // while the list and the tables change.
 func (c *cell) hidePlatform(addr netip.AddrPort) {
 	c.hideList([]netip.AddrPort{addr})
-	c.changeList(serverAddress(2), logservice.BackendServer, true)
+	c.changeList(serverAddress(2), peer.BackendServer, true)
 	tables := *c.tables
 	tables.Routes = append([]operator.Route(nil), tables.Routes...)
 	tables.Routes[0].Share, tables.Routes[1].Share = 60, 40
@@ -125,11 +125,11 @@
 			}
 		}},
 		{name: "server leaving", harmless: true, apply: func(c *cell) {
-			c.changeList(serverAddress(2), logservice.BackendServer, true)
+			c.changeList(serverAddress(2), peer.BackendServer, true)
 			c.load()
 		}},
 		{name: "server leaving, listed 2 s late", harmless: true, apply: func(c *cell) {
-			c.after(2*time.Second, func() { c.changeList(serverAddress(2), logservice.BackendServer, true) })
+			c.after(2*time.Second, func() { c.changeList(serverAddress(2), peer.BackendServer, true) })
 			c.load()
 		}},
 	}
--- a/entry/matrix_scenarios_test.go
+++ b/entry/matrix_scenarios_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // A scenario is what happens in a cell but for the faults.
@@ -169,5 +169,5 @@
 		return
 	}
 	c.drain(addr)
-	c.after(time.Second, func() { c.changeList(addr, logservice.EntryInstance, true) })
+	c.after(time.Second, func() { c.changeList(addr, peer.EntryInstance, true) })
 }
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/backend"
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
 	"github.com/amaranthwell/amaranthwell/peer"
 )
@@ -249,7 +248,7 @@
 // gives as leaving.
 func (i *Instance) markLeaving(now time.Time) {
 	for _, listed := range i.listed.Instances {
-		if listed.Kind != logservice.BackendServer {
+		if listed.Kind != peer.BackendServer {
 			continue
 		}
 		for _, name := range sorted(i.pools) {
--- a/entry/stranded_test.go
+++ b/entry/stranded_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // TestTasksLeaveAHolderWhoseServersAllLeave lets the servers of one instance's
@@ -28,8 +28,8 @@
 	}
 	w.run(moment)
 	for _, n := range []int{0, 3} { // the servers of instance 0's zone
-		w.list.Instances = append(w.list.Instances, logservice.Instance{
-			Address: serverAddress(n), Kind: logservice.BackendServer, Zone: zoneOf(n), Leaving: true,
+		w.list.Instances = append(w.list.Instances, peer.Instance{
+			Address: serverAddress(n), Kind: peer.BackendServer, Zone: zoneOf(n), Leaving: true,
 		})
 	}
 	w.setList(w.list)
--- a/entry/world_tables_test.go
+++ b/entry/world_tables_test.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 func instanceAddress(n int) netip.AddrPort {
@@ -36,11 +36,11 @@
 }
 
 // newWorldList returns the platform's list with every entry instance live.
-func newWorldList(instances int) logservice.List {
-	var list logservice.List
+func newWorldList(instances int) peer.List {
+	var list peer.List
 	for n := range instances {
-		list.Instances = append(list.Instances, logservice.Instance{
-			Address: instanceAddress(n), Kind: logservice.EntryInstance, Zone: zoneOf(n),
+		list.Instances = append(list.Instances, peer.Instance{
+			Address: instanceAddress(n), Kind: peer.EntryInstance, Zone: zoneOf(n),
 		})
 	}
 	return list
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -10,8 +10,8 @@
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/caller"
 	"github.com/amaranthwell/amaranthwell/entry"
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/operator"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // Times of the world.
@@ -31,7 +31,7 @@
 	order  int
 	nodes  map[netip.AddrPort]*node
 	tables *operator.Tables
-	list   logservice.List
+	list   peer.List
 
 	// starts counts what the backend servers saw start, by key and index.
 	starts map[string]int
@@ -264,7 +264,7 @@
 }
 
 // setList gives a platform's list to all nodes.
-func (w *world) setList(list logservice.List) {
+func (w *world) setList(list peer.List) {
 	w.list = list
 	for _, addr := range sortedNodes(w) {
 		if n := w.nodes[addr]; !w.unseen[addr] {
@@ -274,11 +274,11 @@
 }
 
 // setNodeList gives a platform's list to one node.
-func (w *world) setNodeList(now time.Time, n *node, list logservice.List) {
+func (w *world) setNodeList(now time.Time, n *node, list peer.List) {
 	n.instance.SetList(now, list)
 	leaving := make(map[netip.AddrPort]time.Time)
 	for _, listed := range list.Instances {
-		if listed.Kind != logservice.BackendServer || !listed.Leaving {
+		if listed.Kind != peer.BackendServer || !listed.Leaving {
 			continue
 		}
 		leaving[listed.Address] = now
--- a/logservice/errors.go
+++ b/logservice/errors.go
@@ -10,7 +10,7 @@
 
 // Error names the field.
 func (e *ConfigError) Error() string {
-	return fmt.Sprintf("platform: %s: %v", e.Field, e.Err)
+	return fmt.Sprintf("store: %s: %v", e.Field, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/logservice/list_client_test.go
+++ b/logservice/list_client_test.go
@@ -11,33 +11,59 @@
 
 	"github.com/amaranthwell/amaranthwell/httpjson"
 	"github.com/amaranthwell/amaranthwell/logservice"
+	"github.com/amaranthwell/amaranthwell/peer"
+	"github.com/amaranthwell/amaranthwell/platform"
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
-func TestListLagsAndFails(t *testing.T) {
+// newListClient returns a client of store, ended with the test.
+func newListClient(t *testing.T, store *standin.Store) *logservice.ListClient {
+	t.Helper()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client, err := logservice.NewListClient(logservice.ListConfig{URL: server.URL + "/"})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+func TestListHoldsServersAndAnnouncedInstances(t *testing.T) {
 	is := is.New(t)
+	store := standin.NewStore(standin.StoreConfig{})
+	client := newListClient(t, store)
 	now := time.Unix(100, 0)
-	list := standin.NewInstances(standin.InstancesConfig{Lag: time.Second, Now: func() time.Time { return now }})
-	server := httptest.NewServer(list)
-	defer server.Close()
-	client, err := logservice.NewListClient(logservice.ListConfig{URL: server.URL + "/"})
+	server := standin.NewLeasedWorker(standin.LeasedWorkerConfig{ID: "w-1", Tasks: 1})
+	store.Put(platform.WorkerTopic, "w-1", server.Entry("editor", "127.0.1.1:9000", "hr-north-a"))
+	store.Put(platform.WorkerTopic, "w-2", []byte("left by another writer"))
+	self := peer.Instance{Address: netip.MustParseAddrPort("127.0.2.1:7000"), Kind: peer.EntryInstance, Zone: "hr-north-a"}
+	is.NoErr(client.Announce(t.Context(), self))
+
+	list, err := client.List(t.Context(), now)
 	is.NoErr(err)
-	defer client.Close()
+	is.Equal(list.Instances, []peer.Instance{
+		{Address: netip.MustParseAddrPort("127.0.1.1:9000"), Kind: peer.BackendServer, Zone: "hr-north-a"},
+		self,
+	})
 
-	address := netip.MustParseAddrPort("127.0.2.1:7000")
-	list.Put(standin.Instance{Address: address, Kind: "entry", Zone: "hr-north-a", Leaving: true})
-	got, err := client.List(t.Context())
+	// An instance that leaves says so, and is off the list once it is silent.
+	self.Leaving = true
+	is.NoErr(client.Announce(t.Context(), self))
+	now = now.Add(time.Minute)
+	list, err = client.List(t.Context(), now)
 	is.NoErr(err)
-	is.Equal(len(got.Instances), 0)
-	now = now.Add(time.Second)
-	got, err = client.List(t.Context())
+	is.Equal(list.Instances[1], self)
+	now = now.Add(time.Minute)
+	list, err = client.List(t.Context(), now)
 	is.NoErr(err)
-	is.Equal(got.Instances, []logservice.Instance{
-		{Address: address, Kind: logservice.EntryInstance, Zone: "hr-north-a", Leaving: true},
-	})
+	is.Equal(len(list.Instances), 1)
+}
 
-	list.SetDown(true)
-	_, err = client.List(t.Context())
+func TestListFailsWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore(standin.StoreConfig{})
+	client := newListClient(t, store)
+	store.SetDown(true)
+	_, err := client.List(t.Context(), time.Unix(100, 0))
 	var status *httpjson.StatusError
 	is.True(errors.As(err, &status))
 }
--- a/logservice/log_client_test.go
+++ b/logservice/log_client_test.go
@@ -23,10 +23,9 @@
 }
 
 // newLog returns a log and a client of it, both ended with the test.
-func newLog(t *testing.T, cfg standin.LogConfig, clientCfg logservice.LogConfig) (*standin.Log, *logservice.LogClient) {
+func newLog(t *testing.T, cfg standin.StoreConfig, clientCfg logservice.LogConfig) (*standin.Store, *logservice.LogClient) {
 	t.Helper()
-	cfg.AppendDelay = -1
-	log := standin.NewLog(cfg)
+	log := standin.NewStore(cfg)
 	server := httptest.NewServer(log)
 	t.Cleanup(server.Close)
 	clientCfg.URL = server.URL
@@ -37,7 +36,7 @@
 }
 
 func ExampleLogClient() {
-	server := httptest.NewServer(standin.NewLog(standin.LogConfig{}))
+	server := httptest.NewServer(standin.NewStore(standin.StoreConfig{}))
 	defer server.Close()
 	client, err := logservice.NewLogClient(logservice.LogConfig{URL: server.URL})
 	if err != nil {
@@ -65,24 +64,24 @@
 	var unknown *logservice.UnknownError
 	for _, test := range []struct {
 		name    string
-		faults  standin.LogFaults
+		faults  standin.StoreFaults
 		target  any
 		written int
 	}{
-		{name: "down", faults: standin.LogFaults{Down: true}, target: &refused},
-		{name: "lost answer", faults: standin.LogFaults{LoseAnswers: 1}, target: &unknown, written: 1},
-		{name: "dropped request", faults: standin.LogFaults{DropRequests: 1}, target: &unknown},
+		{name: "down", faults: standin.StoreFaults{Down: true}, target: &refused},
+		{name: "lost answer", faults: standin.StoreFaults{LoseAnswers: 1}, target: &unknown, written: 1},
+		{name: "dropped request", faults: standin.StoreFaults{DropRequests: 1}, target: &unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
+			log, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
 			// The connection is in use when the fault comes.
 			_, err := client.Append(t.Context(), "s", []byte("w"))
 			is.NoErr(err)
 			log.SetFaults(test.faults)
 			_, err = client.Append(t.Context(), "s", []byte("x"))
 			is.True(errors.As(err, test.target))
-			log.SetFaults(standin.LogFaults{})
+			log.SetFaults(standin.StoreFaults{})
 			page, err := client.Read(t.Context(), "s", 2, 0, 10)
 			is.NoErr(err)
 			is.Equal(len(page.Records), test.written)
@@ -94,7 +93,7 @@
 func TestAppendOverLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	_, client := newLog(t, standin.LogConfig{AppendsPerSecond: 1, Now: func() time.Time { return now }}, logservice.LogConfig{})
+	_, client := newLog(t, standin.StoreConfig{AppendsPerSecond: 1, Now: func() time.Time { return now }}, logservice.LogConfig{})
 	offset, err := client.Append(t.Context(), "s", []byte("x"))
 	is.NoErr(err)
 	is.Equal(offset, uint64(1))
@@ -120,8 +119,8 @@
 func TestAppendWithoutAnswerInTimeIsUnknown(t *testing.T) {
 	is := is.New(t)
 	// The log answers only after the client has given up.
-	log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{Timeout: time.Millisecond})
-	log.SetFaults(standin.LogFaults{Delay: 100 * time.Millisecond})
+	log, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{Timeout: time.Millisecond})
+	log.SetFaults(standin.StoreFaults{Delay: 100 * time.Millisecond})
 	_, err := client.Append(t.Context(), "s", []byte("x"))
 	var unknown *logservice.UnknownError
 	is.True(errors.As(err, &unknown))
@@ -129,8 +128,8 @@
 
 func TestReadOfLogThatIsDown(t *testing.T) {
 	is := is.New(t)
-	log, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
-	log.SetFaults(standin.LogFaults{Down: true})
+	log, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
+	log.SetFaults(standin.StoreFaults{Down: true})
 	_, err := client.Read(t.Context(), "s", 1, 0, 10)
 	var status *httpjson.StatusError
 	is.True(errors.As(err, &status))
--- a/logservice/pubsub.go
+++ b/logservice/pubsub.go
@@ -105,6 +105,6 @@
 	c.mu.Unlock()
 	c.cancel()
 	c.subscriptions.Wait()
-	c.client.CloseIdleConnections()
+	c.store.Close()
 	return nil
 }
--- a/logservice/pubsub_test.go
+++ b/logservice/pubsub_test.go
@@ -52,18 +52,18 @@
 		return nil
 	})
 	backoff := logservice.BackoffConfig{Min: time.Millisecond, Max: 2 * time.Millisecond}
-	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{Logger: logger, Backoff: backoff})
+	standinLog, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{Logger: logger, Backoff: backoff})
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
 	publish(is, client, "a")
 	receive(is, messages, 1, "a")
-	for _, faults := range []standin.LogFaults{{Down: true}, {DropRequests: 1_000_000}} {
+	for _, faults := range []standin.StoreFaults{{Down: true}, {DropRequests: 1_000_000}} {
 		standinLog.SetFaults(faults)
 		for range 3 { // one report may be left of the fault before
 			<-failed
 		}
 	}
-	standinLog.SetFaults(standin.LogFaults{})
+	standinLog.SetFaults(standin.StoreFaults{})
 	publish(is, client, "b", "c")
 	receive(is, messages, 2, "b")
 	receive(is, messages, 3, "c")
@@ -71,9 +71,9 @@
 
 func TestSubscriberReportsGap(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
+	standinLog, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b", "c", "d")
-	standinLog.Expire("s", 3)
+	standinLog.Expire("s", 2)
 	messages, err := client.SubscribeFrom(t.Context(), "s", 2)
 	is.NoErr(err)
 	receiveGap(is, messages, logservice.Gap{From: 2, To: 2})
@@ -83,9 +83,9 @@
 
 func TestSubscriberReportsGapUpToTheEnd(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
+	standinLog, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b")
-	standinLog.Expire("s", 3)
+	standinLog.Expire("s", 2)
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
 	receiveGap(is, messages, logservice.Gap{From: 1, To: 2})
@@ -95,7 +95,7 @@
 
 func TestSubscriberDeliversAgainAfterNack(t *testing.T) {
 	is := is.New(t)
-	_, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
+	_, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
 	publish(is, client, "a", "b")
 	messages, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
@@ -106,8 +106,8 @@
 
 func TestPublishStopsAtTheFirstFailure(t *testing.T) {
 	is := is.New(t)
-	standinLog, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
-	standinLog.SetFaults(standin.LogFaults{LoseAnswers: 1})
+	standinLog, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
+	standinLog.SetFaults(standin.StoreFaults{LoseAnswers: 1})
 	err := client.Publish("s", message.NewMessage("", []byte("a")), message.NewMessage("", []byte("b")))
 	var unknown *logservice.UnknownError
 	is.True(errors.As(err, &unknown))
@@ -120,7 +120,7 @@
 
 func TestCloseEndsSubscriptions(t *testing.T) {
 	is := is.New(t)
-	_, client := newLog(t, standin.LogConfig{}, logservice.LogConfig{})
+	_, client := newLog(t, standin.StoreConfig{}, logservice.LogConfig{})
 	waiting, err := client.Subscribe(t.Context(), "s")
 	is.NoErr(err)
 	is.NoErr(client.Close())
--- a/logservice/subscription.go
+++ b/logservice/subscription.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
+
+	"github.com/amaranthwell/amaranthwell/operator"
 )
 
 // readLimit is the number of records that a subscription reads at once.
@@ -55,18 +57,18 @@
 }
 
 // read reads the next page and checks that it continues the stream.
-func (s *subscription) read(ctx context.Context) (Page, error) {
+func (s *subscription) read(ctx context.Context) (operator.Page, error) {
 	page, err := s.client.Read(ctx, s.stream, s.next, s.client.cfg.Wait, readLimit)
 	if err != nil {
-		return Page{}, err
+		return operator.Page{}, err
 	}
 	if page.Next < s.next {
-		return Page{}, errors.Newf("log ends before offset %d, at %d", s.next, page.Next)
+		return operator.Page{}, errors.Newf("log ends before offset %d, at %d", s.next, page.Next)
 	}
 	expected := max(s.next, page.First)
 	for _, r := range page.Records {
 		if r.Offset != expected {
-			return Page{}, errors.Newf("record at offset %d, expected %d", r.Offset, expected)
+			return operator.Page{}, errors.Newf("record at offset %d, expected %d", r.Offset, expected)
 		}
 		expected++
 	}
@@ -90,7 +92,7 @@
 
 // deliverPage delivers the gap before the page, if any, and its records. It
 // returns false if ctx ends before.
-func (s *subscription) deliverPage(ctx context.Context, page Page) bool {
+func (s *subscription) deliverPage(ctx context.Context, page operator.Page) bool {
 	if page.First > s.next {
 		gap := Gap{From: s.next, To: page.First - 1}
 		if !s.deliver(ctx, message.Metadata{gapKey: fmt.Sprintf("%d-%d", gap.From, gap.To)}, nil) {
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -1,16 +1,25 @@
 package operator
 
-import (
-	"fmt"
-
-	"github.com/amaranthwell/amaranthwell/logservice"
-)
+import "fmt"
 
 // A Record is one record of a stream of the log.
-type Record = logservice.Record
+type Record struct {
+	// Offset is the record's place in its stream, from 1.
+	Offset uint64
+	// Body is the record's content.
+	Body []byte
+}
 
 // A Page is what one read of a stream returned.
-type Page = logservice.Page
+type Page struct {
+	// First is the offset of the oldest record that the log still keeps. It
+	// equals Next if it keeps none.
+	First uint64
+	// Next is the offset that the next record to be written will have.
+	Next uint64
+	// Records holds the records read, by ascending offset.
+	Records []Record
+}
 
 // A PageError reports a page that cannot follow what the reader has applied.
 type PageError struct {
--- a/logservice/list.go
+++ b/peer/list.go
@@ -1,4 +1,4 @@
-package logservice
+package peer
 
 import "net/netip"
 
--- a/peer/members.go
+++ b/peer/members.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/amaranthwell/amaranthwell/logservice"
 )
 
 // MembersConfig configures Members.
@@ -116,10 +114,10 @@
 }
 
 // SetList takes the platform's list as seen at now.
-func (m *Members) SetList(now time.Time, list logservice.List) {
-	listed := make(map[netip.AddrPort]logservice.Instance)
+func (m *Members) SetList(now time.Time, list List) {
+	listed := make(map[netip.AddrPort]Instance)
 	for _, i := range list.Instances {
-		if i.Kind == logservice.EntryInstance && i.Address != m.cfg.Self {
+		if i.Kind == EntryInstance && i.Address != m.cfg.Self {
 			listed[i.Address] = i
 		}
 	}
--- a/peer/members_test.go
+++ b/peer/members_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/amaranthwell/amaranthwell/logservice"
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
@@ -121,8 +120,8 @@
 func TestAListedPeerIsNotForgotten(t *testing.T) {
 	is := is.New(t)
 	a, b := newMembers(self, 1), newMembers(second, 2)
-	a.SetList(start, logservice.List{Instances: []logservice.Instance{
-		{Address: second, Kind: logservice.EntryInstance, Zone: "a"},
+	a.SetList(start, peer.List{Instances: []peer.Instance{
+		{Address: second, Kind: peer.EntryInstance, Zone: "a"},
 	}})
 	send(start, b, a, second, self)
 	later := start.Add(10 * peer.DefaultForgetAfter)
@@ -137,12 +136,12 @@
 	is := is.New(t)
 	a, b := newMembers(self, 1), newMembers(second, 2)
 	send(start, b, a, second, self)
-	listed := logservice.Instance{Address: second, Kind: logservice.EntryInstance, Zone: "a", Leaving: true}
-	a.SetList(start, logservice.List{Instances: []logservice.Instance{listed}})
+	listed := peer.Instance{Address: second, Kind: peer.EntryInstance, Zone: "a", Leaving: true}
+	a.SetList(start, peer.List{Instances: []peer.Instance{listed}})
 	send(start, b, a, second, self)
 	is.True(!a.Live(second))
 	listed.Leaving = false
-	a.SetList(start, logservice.List{Instances: []logservice.Instance{listed}})
+	a.SetList(start, peer.List{Instances: []peer.Instance{listed}})
 	send(start, b, a, second, self)
 	is.True(a.Live(second))
 	b.SetLeaving()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,7 +110,7 @@
 	// net is the third byte of the processes' addresses.
 	net   uint64
 	nodes []*node
-	store *standin.MetaStore
+	store *standin.Store
 }
 
 func newWorld(t *testing.T, binary string, seed uint64) *world {
@@ -118,7 +118,7 @@
 	is := is.New(t)
 	w := &world{
 		judge: &judge{running: make(map[string]int), ran: make(map[string]bool), answered: make(map[string][]int)},
-		store: standin.NewMetaStore(),
+		store: standin.NewStore(standin.StoreConfig{}),
 		net:   firstNet + seed%nets,
 	}
 	server := httptest.NewServer(w.store)
--- a/standin/example_test.go
+++ b/standin/example_test.go
@@ -9,17 +9,18 @@
 	"github.com/amaranthwell/amaranthwell/standin"
 )
 
-func ExampleLog() {
-	log := standin.NewLog(standin.LogConfig{AppendDelay: -1})
+func ExampleStore() {
+	store := standin.NewStore(standin.StoreConfig{})
 	appendRecord := func() {
 		w := httptest.NewRecorder()
-		log.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/streams/s/records", strings.NewReader("record")))
+		body := "\x00\x00\x00\x06record"
+		store.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/log-append?topic=s&part=0", strings.NewReader(body)))
 		fmt.Println(w.Code, strings.TrimSpace(w.Body.String()))
 	}
 	appendRecord()
-	log.SetFaults(standin.LogFaults{Down: true})
+	store.SetFaults(standin.StoreFaults{Down: true})
 	appendRecord()
 	// Output:
-	// 200 {"offset":1}
-	// 503 the log is down
+	// 200 {"end":1,"offset":0}
+	// 503 the store is down
 }
--- /dev/null
+++ b/standin/store_http.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const (
+	// maxNewest is the number of records in one page of the newest ones.
+	maxNewest = 500
+	// maxReadBytes is the size of an answer to a read unless asked.
+	maxReadBytes = 1 << 20
+	// recordPrefix is the size of a record's length.
+	recordPrefix = 4
+)
+
+// admit lets a request in: it waits for the delay, drops the connection or
+// answers 503 as the faults say.
+func (s *Store) admit(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		if faults.DropRequests > 0 {
+			s.faults.DropRequests--
+		}
+		s.mu.Unlock()
+		if faults.DropRequests > 0 {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(faults.Delay)
+		if faults.Down {
+			http.Error(w, "the store is down", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	// The platform gives the key to continue after under this name.
+	after := r.URL.Query().Get("depends_on")
+	items := []item{}
+	for key, n := range t.newest {
+		if key > after {
+			items = append(items, item{key, n.value, n.offset})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > maxNewest
+	items = items[:min(len(items), maxNewest)]
+	writeJSON(w, map[string]any{"items": items, "has_more": more, "end": t.end()})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(query.Get("wait_ms"))
+	if err != nil {
+		// A read without it does not wait.
+		wait = 0
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for over := false; ; {
+		grown, answered := s.tryRead(w, query.Get("topic"), from, over)
+		if answered {
+			return
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tryRead answers a read if there is a record, if records are missing, if the
+// store is down or if the time to wait is over. It returns the channel that is
+// closed when that may change.
+func (s *Store) tryRead(w http.ResponseWriter, name string, from int64, over bool) (grown <-chan struct{}, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	switch {
+	case s.faults.Down:
+		http.Error(w, "the store is down", http.StatusServiceUnavailable)
+	case from < t.first:
+		w.WriteHeader(http.StatusGone)
+		writeJSON(w, map[string]any{"first": t.first})
+	case from < t.end() || over:
+		// A client that has gone needs no answer.
+		_, _ = w.Write(t.encode(from))
+	default:
+		return s.grown, false
+	}
+	return nil, true
+}
+
+// encode returns the answer to a read from an offset on.
+func (t *topic) encode(from int64) []byte {
+	body := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
+	for _, r := range t.records[min(from, t.end())-t.first:] {
+		if len(body) > maxReadBytes {
+			break
+		}
+		body = binary.BigEndian.AppendUint32(body, uint32(len(r.body)))
+		body = append(body, r.body...)
+	}
+	return body
+}
+
+// takeAppend counts an append and reports whether the limit lets it through; s.mu
+// is held.
+func (s *Store) takeAppend() bool {
+	if second := s.cfg.Now().Unix(); second != s.second {
+		s.second, s.appends = second, 0
+	}
+	if s.cfg.AppendsPerSecond > 0 && s.appends >= s.cfg.AppendsPerSecond {
+		return false
+	}
+	s.appends++
+	return true
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) < recordPrefix || len(body) != recordPrefix+int(binary.BigEndian.Uint32(body)) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(s.cfg.AppendDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.takeAppend() {
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	offset := s.add(r.URL.Query().Get("topic"), body[recordPrefix:])
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]any{"offset": offset, "end": offset + 1})
+}
+
+// servePut adds a record of a key, which has no value if the method is DELETE.
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if r.Method == http.MethodDelete {
+		value = nil
+	}
+	s.Put(chi.URLParam(r, "topic"), chi.URLParam(r, "key"), value)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Down         bool   `json:"down"`
+		Delay        string `json:"delay"`
+		LoseAnswers  int    `json:"lose-answers"`
+		DropRequests int    `json:"drop-requests"`
+	}
+	if !readJSON(w, r, &body) {
+		return
+	}
+	delay, err := parseDuration(body.Delay)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(StoreFaults{Down: body.Down, Delay: delay, LoseAnswers: body.LoseAnswers, DropRequests: body.DropRequests})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// parseDuration parses s, of which "" is zero.
+func parseDuration(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(s)
+}
+
+// readJSON decodes the body of r into v. If it can't, it answers 400 and
+// returns false.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// writeJSON answers 200 with v.
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A client that has gone needs no answer.
+	_, _ = w.Write(body)
+}
