dispatch: suspect workers that answer no start; use unlisted ones that answer

A start without an answer counted nothing against its worker, whose room then looked free: 723 starts went unanswered. From 39.3 on, after a zone's cut, the store no longer had 102 workers of the zone, which answered every look; they were left out until their entries were back, and 564 jobs found no room. Ruled out: leaving an unlisted worker in use for good: an entry that is missing after two seconds is that of a worker that is gone. Change: a start without an answer counts as a failure of the worker, so that two in a row leave it out for a time. A worker that is missing in the table for less than 2 s is used as long as it answers.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -40,8 +40,11 @@
 	dropAfter = 3 * time.Second
 	// keepEnds is how long the end of a job is kept for its receivers.
 	keepEnds = 4 * time.Second
-	// missingFor is the time for which a worker may be missing in the table,
-	// as after an outage of the store, before it is taken for gone.
+	// backWithin is the time within which the entry of a worker that lives comes
+	// back after an outage of the store.
+	backWithin = 2 * time.Second
+	// missingFor is the time after which a worker that is missing in the table is
+	// forgotten, once nothing can run there.
 	missingFor = 2500 * time.Millisecond
 	// refusedPause is the time without starts on a worker that refused one,
 	// doubled with each further one up to maxRefusedPause.
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -162,6 +162,7 @@
 	case Unclear:
 		d.effects.decide("start-unclear", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
 		r.unsure = true
+		d.blame(now, w, "start-unclear")
 		if r.state == runSent {
 			r.state = runUnclear
 			d.peek(now, w)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -156,7 +156,13 @@
 
 // usable reports whether the worker may be given a task at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.seen && !w.Leaving && w.foreign == 0 && w.misses == 0 && w.missing.IsZero() && !now.Before(w.notBefore)
+	return w.seen && !w.Leaving && w.foreign == 0 && w.misses == 0 && !w.gone(now) && !now.Before(w.notBefore)
+}
+
+// gone reports whether the worker has been missing in the table for so long that its
+// entry will not come back.
+func (w *worker) gone(now time.Time) bool {
+	return !w.missing.IsZero() && now.Sub(w.missing) >= backWithin
 }
 
 // clockLow returns the least that the worker's clock can show at now.
