dispatch, platform, amaranthwell: new instances know a large fleet from the store

The first instance back, which knows no worker yet, took over all three zones at 44.6, found 350 workers, and the other zones' heaviest instances took theirs back at 46.1 and 46.9: jobs waited for one leader, and then changed hands twice. Ruled out: reading the worker table at every start (350 entries on 43 machines). Change: a leader notes the number of workers in the store when it differs from the one noted; instances that begin read it with the members, and go by it as long as they know no worker.

--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -114,6 +114,11 @@
 	}
 	s.answered("workers")
 	s.takeAllWorkers(records)
+	if fleet := int64(len(records)); s.fleet.Swap(fleet) != fleet {
+		if err := s.store.AppendFleet(ctx, len(records)); err != nil {
+			return err
+		}
+	}
 	for s.loop.leading.Load() && ctx.Err() == nil {
 		sleep(ctx, workersEvery)
 		records, from, err := s.store.Read(ctx, platform.WorkerTopic, next, 0)
@@ -200,12 +205,28 @@
 		if r.Dropped {
 			continue
 		}
-		member, err := platform.DecodeMember(r)
-		if err != nil {
+		if err := s.takeMember(r); err != nil {
 			_ = s.logger.Log("event", "member-entry-unreadable", "id", r.Key, "error", err)
-			continue
 		}
-		s.loop.do(func(now time.Time, i *dispatch.Instance) { i.AddMember(now, member.Address, member.Zone) })
 	}
 	return nil
 }
+
+// takeMember takes what a record tells of another instance, or of the fleet.
+func (s *service) takeMember(r platform.Record) error {
+	workers, ok, err := platform.DecodeFleet(r)
+	if err != nil {
+		return err
+	}
+	if ok {
+		s.fleet.Store(int64(workers))
+		s.loop.do(func(now time.Time, i *dispatch.Instance) { i.SetFleet(now, workers) })
+		return nil
+	}
+	member, err := platform.DecodeMember(r)
+	if err != nil {
+		return err
+	}
+	s.loop.do(func(now time.Time, i *dispatch.Instance) { i.AddMember(now, member.Address, member.Zone) })
+	return nil
+}
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -75,6 +75,8 @@
 	loop    *loop
 	tables  atomic.Pointer[dispatch.Tables]
 	closing atomic.Bool
+	// fleet is the number of workers that the store was last told or tells.
+	fleet atomic.Int64
 	// lost holds what could not be read from the store lately.
 	lost    sync.Map
 	metrics *metrics.Set
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -43,6 +43,8 @@
 	last    time.Time
 	probed  time.Time
 	leaving bool
+	// fleet is the number of workers that an earlier leader knew.
+	fleet int
 }
 
 // peerState is how far a peer has what this instance could send it.
@@ -126,6 +128,23 @@
 	i.leadership.AddMember(now, addr, zone)
 }
 
+// SetFleet takes the number of workers that an earlier leader knew. It counts while
+// this instance knows none.
+func (i *Instance) SetFleet(now time.Time, workers int) {
+	i.advance(now)
+	i.fleet = workers
+	i.separate()
+}
+
+// separate lets each zone have a leader of its own if there are many workers.
+func (i *Instance) separate() {
+	workers := len(i.dispatcher.order)
+	if workers == 0 {
+		workers = i.fleet
+	}
+	i.leadership.SetApart(workers > maxWorkersTogether)
+}
+
 // SetTables takes the configuration as the operators wrote it.
 func (i *Instance) SetTables(now time.Time, version uint64, tables []byte) {
 	i.advance(now)
@@ -239,7 +258,7 @@
 // Tick moves what depends on the time.
 func (i *Instance) Tick(now time.Time) {
 	i.advance(now)
-	i.leadership.SetApart(len(i.dispatcher.order) > maxWorkersTogether)
+	i.separate()
 	if beat := i.leadership.Tick(now); beat != nil {
 		i.broadcast(beat)
 	}
