peer, dispatch: a leader that is at work is not replaced by one that just began

With the store down b-2 knew no worker until 37.8. Change: a link that comes back sends nothing from before; only an answer confirms that a leader is gone, not a question; an instance that knows no worker comes last among those that could lead. Tests, failing before: TestLinkSendsNothingFromBeforeItsStream, TestQuestionOfAnotherConfirmsNothing, TestInstanceWithoutWorkersComesLast.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -92,7 +92,7 @@
 	for _, addr := range i.leadership.Members() {
 		i.sendBeat(addr, &peer.Beat{
 			Leads: beat.Leads, Hears: beat.Hears, Seeking: beat.Seeking, Members: beat.Members,
-			Successor: beat.Successor, Weight: beat.Weight,
+			Successor: beat.Successor, Weight: beat.Weight, TableRevision: beat.TableRevision,
 		})
 	}
 }
@@ -102,7 +102,6 @@
 func (i *Instance) sendBeat(to netip.AddrPort, beat *peer.Beat) {
 	beat.Version = i.version
 	beat.WorkersRevision = i.peer(to).given
-	beat.TableRevision = i.table.revision
 	env := i.envelope(to)
 	env.Beat = beat
 	if !i.leadership.Leading() {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -143,6 +143,7 @@
 		workers = i.fleet
 	}
 	i.leadership.SetApart(workers > maxWorkersTogether)
+	i.leadership.SetTable(i.table.revision)
 }
 
 // SetTables takes the configuration as the operators wrote it.
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -18,6 +18,12 @@
 	arrivalGap  = 40 * time.Millisecond
 )
 
+// failedStorms are the seeds of storms that failed once, beyond those that always run.
+var failedStorms = []uint64{
+	92, 125, 134, 179, 1024, 1148, // jobs that outlived their zone at a leader, and others
+	163, // a leader by an earlier claim than that of one that is gone
+}
+
 // storms returns the number of seeds to run: a few, or SEEDED_RUNS.
 func storms() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("SEEDED_RUNS"), 10, 64); err == nil {
@@ -142,31 +148,43 @@
 // that all jobs are served once the faults are over.
 func TestStorms(t *testing.T) {
 	for seed := range storms() {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			w := newWorld(seed)
-			w.run(stormWarmUp)
-			w.arrivals(stormFor)
-			for range 3 + w.random.IntN(6) {
-				w.after(time.Duration(w.random.Int64N(int64(stormFor))), w.fault)
-			}
-			w.run(stormFor + stormCalm)
-			w.judgeRefusals()
-			is.Equal(w.leaders(), 1) // one leader once all is calm
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { storm(t, seed) })
+	}
+	for _, seed := range failedStorms {
+		t.Run("again-"+strconv.FormatUint(seed, 10), func(t *testing.T) { storm(t, seed) })
+	}
+}
 
-			before := w.nextJob
-			w.arrivals(time.Second)
-			w.run(6 * time.Second)
-			for _, j := range w.jobs {
-				if number, _ := strconv.ParseUint(j.id, 16, 64); int(number) > before && j.end == 0 {
-					w.violate("job %s of the calm has no end", j.id)
-				}
-			}
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.trace, "\n"))
-			}
-			is.Equal(w.violations, nil)
-		})
+// TestStormOfALateOrderToAWorkerBornAgain runs a storm in which an order without an
+// answer is carried out in the next life of its worker, which has forgotten that the
+// run was stopped, while the task is at work elsewhere.
+func TestStormOfALateOrderToAWorkerBornAgain(t *testing.T) { storm(t, 997) }
+
+func storm(t *testing.T, seed uint64) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(seed)
+	defer func() {
+		if t.Failed() {
+			t.Log(strings.Join(w.trace, "\n"))
+		}
+	}()
+	w.run(stormWarmUp)
+	w.arrivals(stormFor)
+	for range 3 + w.random.IntN(6) {
+		w.after(time.Duration(w.random.Int64N(int64(stormFor))), w.fault)
+	}
+	w.run(stormFor + stormCalm)
+	w.judgeRefusals()
+	is.Equal(w.leaders(), 1) // one leader once all is calm
+
+	before := w.nextJob
+	w.arrivals(time.Second)
+	w.run(6 * time.Second)
+	for _, j := range w.jobs {
+		if number, _ := strconv.ParseUint(j.id, 16, 64); int(number) > before && j.end == 0 {
+			w.violate("job %s of the calm has no end", j.id)
+		}
 	}
+	is.Equal(w.violations, nil)
 }
--- a/peer/beats.go
+++ b/peer/beats.go
@@ -16,13 +16,18 @@
 	if now.Sub(m.heard) > Silence {
 		m.steadySince = now
 	}
-	m.zone, m.heard, m.leaving, m.weight = zone, now, leaving, int(b.Weight)
+	m.zone, m.heard, m.leaving, m.weight, m.blank = zone, now, leaving, int(b.Weight), b.TableRevision == 0
+	if b.Reply {
+		m.replied = now
+	}
 	m.hears = make(map[string]uint64, len(b.Hears))
 	for _, h := range b.Hears {
 		m.hears[h.Zone] = h.Term
 		l.takeHeard(now, h)
 	}
+	m.leads = make(map[string]bool, len(b.Leads))
 	for _, lead := range b.Leads {
+		m.leads[lead.Zone] = true
 		l.takeLead(now, from, leaving && b.Successor == "", lead)
 	}
 	if leaving && b.Successor == l.cfg.Self.String() && !l.leaving {
@@ -79,7 +84,7 @@
 
 // Beat returns this instance's view, to be sent at once.
 func (l *Leadership) Beat(now time.Time) *Beat {
-	b := &Beat{Weight: uint32(l.cfg.Weight)}
+	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.table}
 	if l.leaving && l.Leading() {
 		b.Successor = l.successor(now)
 	}
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -103,21 +103,29 @@
 	beatAt      time.Time
 	leaving     bool
 	apart       bool
+	// table is the revision of this instance's worker table, or 0.
+	table uint64
 }
 
 // standing is what is known of another instance.
 type standing struct {
 	zone  string
 	heard time.Time
+	// replied is when it last answered a question of this instance.
+	replied time.Time
 	// steadySince is when it was first heard after its last silence.
 	steadySince time.Time
 	// listed is when it became known, or another instance last named it.
 	listed time.Time
 	// hears are the zones whose leaders it hears, by the time of its beat.
-	hears   map[string]uint64
+	hears map[string]uint64
+	// leads are the zones that it leads.
+	leads   map[string]bool
 	leaving bool
 	// weight is what its machine can do, in thousandths of a core.
 	weight int
+	// blank says that it knows no worker.
+	blank bool
 	// outdated says that the instance has entries of the worker table that
 	// this one lacks.
 	outdated bool
@@ -255,6 +263,10 @@
 // instance could not lead all.
 func (l *Leadership) SetApart(apart bool) { l.apart = apart }
 
+// SetTable sets the newest revision of this instance's worker table. An instance
+// that knows no worker, at revision 0, leads only if all others know none.
+func (l *Leadership) SetTable(revision uint64) { l.table = revision }
+
 // Tick moves what depends on the time. It returns the beat that is due to all
 // members, or nil.
 func (l *Leadership) Tick(now time.Time) *Beat {
--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -208,3 +208,63 @@
 	fmt.Println(leads)
 	// Output: true
 }
+
+// TestQuestionOfAnotherConfirmsNothing begins an instance that knows nobody and hears
+// only the question of another one, which may be from before a leader was found.
+func TestQuestionOfAnotherConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	now := leadershipStart
+	other := netip.MustParseAddrPort("10.0.0.2:70")
+	l := NewLeadership(now, LeadershipConfig{Self: netip.MustParseAddrPort("10.0.0.1:70"), Zone: "hr-north-a", Zones: leadershipZones, Wall: now})
+	tick := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			l.Tick(now)
+		}
+	}
+	tick(40 * time.Millisecond)
+	l.Receive(now, other, "hr-north-a", false, &Beat{Seeking: true})
+	tick(time.Second)
+	is.True(!l.Leading())
+	l.Receive(now, other, "hr-north-a", false, &Beat{Reply: true})
+	tick(time.Second)
+	is.True(l.Leading())
+}
+
+// TestInstanceWithoutWorkersComesLast ends the leader while the store is away: an
+// instance that began meanwhile, and knows no worker, does not succeed it, however
+// heavy it is.
+func TestInstanceWithoutWorkersComesLast(t *testing.T) {
+	is := is.New(t)
+	c := newCouncil("hr-north-a", "hr-north-a", "hr-north-a")
+	c.run(time.Second)
+	for _, addr := range c.order {
+		if addr != c.order[1] {
+			c.members[addr].SetTable(1)
+		}
+	}
+	c.run(time.Second)
+	delete(c.members, c.order[0])
+	c.run(2 * time.Second)
+	is.True(!c.members[c.order[1]].Leading())
+	is.True(c.members[c.order[2]].Leading())
+}
+
+// TestLeaderByAnOutlivedClaimIsTakenOver cuts a zone off, lets an instance beyond the
+// cut claim it, too, and end: once all hear each other, one leads both zones.
+func TestLeaderByAnOutlivedClaimIsTakenOver(t *testing.T) {
+	is := is.New(t)
+	c := newCouncil("hr-north-b", "hr-north-b", "hr-north-b", "hr-north-a", "hr-north-a")
+	c.run(time.Second)
+	rival, heir, alone := c.order[0], c.order[1], c.order[3]
+	c.cut = func(a, b netip.AddrPort) bool { return c.zones[a] != c.zones[b] }
+	c.members[alone].claim(c.now, "hr-north-a")
+	c.run(time.Second)
+	c.members[rival].claim(c.now, "hr-north-a")
+	c.run(500 * time.Millisecond)
+	delete(c.members, rival)
+	c.run(time.Second)
+	c.cut = func(_, _ netip.AddrPort) bool { return false }
+	c.run(5 * time.Second)
+	is.True(c.members[heir].Leading())
+	is.True(!c.members[alone].Leading())
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -142,7 +142,9 @@
 	if err != nil {
 		return
 	}
-	if l.lossy.Swap(false) {
+	if l.lossy.Load() {
+		l.discard()
+		l.lossy.Store(false)
 		receiver.LinkReset(l.address)
 	}
 	for {
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -89,3 +89,35 @@
 	defer cancel()
 	link.Close(ctx)
 }
+
+// TestLinkSendsNothingFromBeforeItsStream queues an envelope for a peer that cannot be
+// reached: once the peer is back, what was true then is not told to it any more.
+func TestLinkSendsNothingFromBeforeItsStream(t *testing.T) {
+	is := is.New(t)
+	to := newInbox()
+	addr, stop := serve(t, "127.0.0.1:0", to)
+	stop()
+	from := newInbox()
+	link := peer.NewLink(addr, from)
+	for range 30 { // longer than a pause between two attempts
+		link.Send(&peer.Envelope{Sequence: 1})
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, stop = serve(t, addr.String(), to)
+	defer stop()
+	for range 30 {
+		link.Send(&peer.Envelope{Sequence: 1})
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(<-from.resets, addr)
+	link.Send(&peer.Envelope{Sequence: 2})
+	for env := range to.envelopes {
+		if env.Sequence == 2 {
+			break
+		}
+		t.Error("an envelope from before the stream arrived")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link.Close(ctx)
+}
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"cmp"
 	"net/netip"
 	"time"
 
@@ -26,7 +25,7 @@
 		if m.leaving || now.Sub(m.heard) > Silence || (l.apart && m.zone != l.cfg.Zone) {
 			continue
 		}
-		if !best.IsValid() || m.weight > l.members[best].weight {
+		if !best.IsValid() || m.before(l.members[best]) {
 			best = addr
 		}
 	}
@@ -36,10 +35,19 @@
 	return best.String()
 }
 
+// before reports whether m is to lead rather than other, if not by address.
+func (m *standing) before(other *standing) bool {
+	if m.blank != other.blank {
+		return other.blank
+	}
+	return m.weight > other.weight
+}
+
 // outranked reports whether the instance at addr comes before this one.
 func (l *Leadership) outranked(addr netip.AddrPort, m *standing) bool {
-	if m.weight != l.cfg.Weight {
-		return m.weight > l.cfg.Weight
+	self := &standing{weight: l.cfg.Weight, blank: l.table == 0}
+	if m.before(self) || self.before(m) {
+		return m.before(self)
 	}
 	return addr.Compare(l.cfg.Self) < 0
 }
@@ -135,7 +143,8 @@
 		if _, hears := m.hears[l.cfg.Zone]; hears {
 			return 0, false
 		}
-		confirmed = true
+		// What another one asks may be from before it found a leader.
+		confirmed = confirmed || m.replied.After(l.silentSince)
 		rival := m.zone == l.cfg.Zone || !l.apart
 		if rival && !m.leaving && l.outranked(addr, m) {
 			rank++
@@ -155,7 +164,7 @@
 			continue
 		}
 		orphan := l.orphan(now, zone, c) && l.deserted(now, zone)
-		if orphan || l.unled(now, zone) || l.yields(now, c, led) {
+		if orphan || l.unled(now, zone) || l.yields(now, c, led) || l.outlived(now, zone, c, led) {
 			l.claim(now, zone)
 			claimed = true
 		}
@@ -241,15 +250,34 @@
 
 // yields reports whether the leader of c is live and comes after this one.
 func (l *Leadership) yields(now time.Time, c Claim, led map[netip.AddrPort]int) bool {
-	m := l.members[c.Leader]
-	if m == nil || l.apart || m.outdated || !l.fresh(now, c) || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
+	return l.fresh(now, c) && l.precedes(now, c.Leader, led[c.Leader], led[l.cfg.Self])
+}
+
+// outlived reports whether an instance that comes after this one leads zone by an
+// earlier claim than that of a leader that is gone since.
+func (l *Leadership) outlived(now time.Time, zone string, c Claim, led map[netip.AddrPort]int) bool {
+	if l.fresh(now, c) {
+		return false
+	}
+	for addr, m := range l.members {
+		if m.leads[zone] && l.precedes(now, addr, len(m.leads), led[l.cfg.Self]) {
+			return true
+		}
+	}
+	return false
+}
+
+// precedes reports whether the leader at addr, which leads some zones, is live and
+// comes after this one, which leads own zones.
+func (l *Leadership) precedes(now time.Time, addr netip.AddrPort, zones, own int) bool {
+	m := l.members[addr]
+	if m == nil || l.apart || m.outdated || m.steadySince.IsZero() || now.Sub(m.steadySince) < steady || now.Sub(m.heard) > Silence {
 		return false
 	}
-	order := cmp.Compare(led[c.Leader], led[l.cfg.Self])
-	if order == 0 {
-		return !l.outranked(c.Leader, m)
+	if zones == own {
+		return !l.outranked(addr, m)
 	}
-	return order < 0
+	return zones < own
 }
 
 // claim makes this instance the leader of zone.
