dispatch: refuse a waiting job early; end a starved one

Change: a job waits for its first start for 0.45 of the time to its objective, and is then told that it has not run and when to come back. A job of which nothing runs ends once it cannot end in time to be worth anything.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -69,6 +69,10 @@
 	// lateFactor is the multiple of the objective after which the end of a
 	// job is worth nothing.
 	lateFactor = 3
+	// holdShare is the share of the time to its objective for which a job may
+	// wait for its first start. A refusal then leaves its caller time to come
+	// again, and its room to those that can be in time.
+	holdShare = 0.45
 	// runsPerRound is the number of runs of a task that one leader may order
 	// before the numbers of the next leader's runs begin.
 	runsPerRound = 64
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -206,6 +206,19 @@
 	return j.Arrived.Add(lateFactor * j.objective.Sub(j.Arrived))
 }
 
+// holdUntil is the time until which the job may wait for its first start.
+func (j *activeJob) holdUntil() time.Time {
+	return j.Arrived.Add(time.Duration(holdShare * float64(j.objective.Sub(j.Arrived))))
+}
+
+// unserved returns the end of a job that is given up.
+func (j *activeJob) unserved(reason string) End {
+	if j.started {
+		return End{ID: j.ID, State: Overdue, Reason: reason}
+	}
+	return j.Job.unserved(reason)
+}
+
 // newActiveJob returns j with its tasks, of which those of steps without
 // predecessors wait.
 func newActiveJob(j Job) *activeJob {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -43,8 +43,9 @@
 	return j.Round == 0 || !now.Before(j.Settled) || d.allSeen()
 }
 
-// judge marks the jobs that cannot be in time any more, and refuses those that
-// are worth nothing any more and have not begun.
+// judge marks the jobs that cannot be in time any more. It refuses those that have
+// waited long for their first start, and ends those of which nothing runs and that
+// would end too late to be worth anything.
 func (d *dispatcher) judge(now time.Time) {
 	for _, j := range slices.Clone(d.queue.jobs) {
 		best := d.best(j)
@@ -52,7 +53,10 @@
 			j.late = true
 			d.queue.stale = true
 		}
-		if !j.started && now.Add(best).After(j.limit()) {
+		switch {
+		case !j.started && now.After(j.holdUntil()):
+			d.end(now, j, j.unserved("overload"))
+		case j.placed == 0 && now.Add(best).After(j.limit()):
 			d.end(now, j, j.unserved("overload"))
 		}
 	}
