dispatch: leave out no more than a third of the workers at once

Change: a worker is left out only while fewer than 0.35 of the workers are, or none. Test, failing before: TestFleetIsSparedWhenAllFail.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,10 @@
 // out for a time, and then tried with one task at a time.
 const troubleLimit = 2
 
+// maxSuspected is the share of the workers that may be left out at once, beside
+// one.
+const maxSuspected = 0.35
+
 // dispatcher is the state of an instance that leads availability zones.
 type dispatcher struct {
 	self netip.AddrPort
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -58,3 +58,38 @@
 	}
 	is.Equal(silent, 2)
 }
+
+// TestFleetIsSparedWhenAllFail lets no worker answer a start, as when orders of all are
+// carried out late: most of the fleet stays in use, as it is not the workers' fault.
+func TestFleetIsSparedWhenAllFail(t *testing.T) {
+	is := is.New(t)
+	s := newScripted()
+	s.lead()
+	const workers = 10
+	for n := 2; n <= workers; n++ {
+		s.SetWorker(s.now, dispatch.Worker{
+			ID: fmt.Sprintf("w-%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80), Pool: "editor",
+			Zone: "hr-north-a", Size: dispatch.Room{Millicores: 9000, Memory: 100},
+		})
+	}
+	s.pass(100 * time.Millisecond)
+	for n := range 300 {
+		s.Submit(s.now, dispatch.CallerID(n), s.job(fmt.Sprintf("%016x", n)))
+		s.effects.Starts = nil
+		s.pass(10 * time.Millisecond)
+		for _, start := range s.effects.Starts {
+			s.StartDone(s.now, start, dispatch.Unclear, 0)
+		}
+	}
+	used := make(map[string]bool)
+	for n := range 100 {
+		s.Submit(s.now, dispatch.CallerID(n+1000), s.job(fmt.Sprintf("%016x", n+1000)))
+		s.effects.Starts = nil
+		s.pass(10 * time.Millisecond)
+		for _, start := range s.effects.Starts {
+			used[start.Worker] = true
+			s.StartDone(s.now, start, dispatch.Unclear, 0)
+		}
+	}
+	is.True(len(used) >= workers/2)
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -113,17 +113,34 @@
 	d.queue.add(j)
 }
 
-// blame leaves a worker out for a time after failures in a row.
+// blame leaves a worker out for a time after failures in a row, unless so many are
+// suspected that the cause must lie elsewhere.
 func (d *dispatcher) blame(now time.Time, w *worker, why string) {
 	w.trouble++
 	if w.trouble < troubleLimit {
 		return
 	}
+	if others := d.suspected(w); others >= max(1, int(maxSuspected*float64(len(d.order)))) {
+		w.trouble = troubleLimit - 1
+		d.effects.decide("worker-spared", w.ID, "why", why, "suspected", others, "workers", len(d.order))
+		return
+	}
 	pause := min(refusedPause<<min(w.trouble+2, 10), 2*maxRefusedPause)
 	w.notBefore = now.Add(pause)
 	d.effects.decide("worker-left-out", w.ID, "why", why, "failures", w.trouble, "for", pause)
 }
 
+// suspected counts the workers other than w that failed too often in a row.
+func (d *dispatcher) suspected(w *worker) int {
+	n := 0
+	for _, other := range d.order {
+		if other != w && other.trouble >= troubleLimit {
+			n++
+		}
+	}
+	return n
+}
+
 // learn takes in the run time of a run that has ended well.
 func (d *dispatcher) learn(now time.Time, w *worker, r *run) {
 	if r.adopted {
