soak, standin, amaranthwell: harm connections, the store and clocks from outside

Change: a proxy stands before the store, each worker and each process's peers, and delays, resets, loses answers, loses all, or loses all on the connections that are open at its start. The store is slow, loses answers and requests, or its history. Workers' clocks run at 0.98 to 1.01. Ports are probed while no process is forked.

--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -37,7 +38,8 @@
 
 // serveCommand runs an entry instance on the platform.
 type serveCommand struct {
-	NodeFile string `long:"node-file" value-name:"FILE" description:"the platform's settings of the process; the default is what AMARANTHWELL_NODE_FILE names"`
+	PeerListen string `long:"peer-listen" value-name:"ADDRESS" description:"where to listen for peers, if they reach it through a forwarder at the address of the node file"`
+	NodeFile   string `long:"node-file" value-name:"FILE" description:"the platform's settings of the process; the default is what AMARANTHWELL_NODE_FILE names"`
 }
 
 // Execute runs the entry instance until SIGTERM or SIGINT.
@@ -59,6 +61,11 @@
 	lines := newLineWriter(os.Stdout)
 	logger := log.With(log.NewLogfmtLogger(lines), "time", log.DefaultTimestampUTC, "instance", node.Name)
 	s := newService(node, logger)
+	if c.PeerListen != "" {
+		if s.peers, err = netip.ParseAddrPort(c.PeerListen); err != nil {
+			return &fileError{err: errors.Wrap(err, "--peer-listen")}
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hup := make(chan os.Signal, 1)
@@ -69,7 +76,9 @@
 
 // A service is an entry instance on the platform, with its ports and links.
 type service struct {
-	node    platform.Node
+	node platform.Node
+	// peers is where the instance listens for peers.
+	peers   netip.AddrPort
 	logger  log.Logger
 	store   *platform.Store
 	loop    *loop
@@ -85,6 +94,7 @@
 func newService(node platform.Node, logger log.Logger) *service {
 	return &service{
 		node:    node,
+		peers:   node.Peers,
 		logger:  logger,
 		store:   platform.NewStore(node.Store.String()),
 		metrics: metrics.NewSet(),
@@ -131,7 +141,7 @@
 
 // listen opens the ports, and returns the server of the callers' port.
 func (s *service) listen(ctx context.Context, group *errgroup.Group) (*http.Server, error) {
-	peers, err := net.Listen("tcp", s.node.Peers.String())
+	peers, err := net.Listen("tcp", s.peers.String())
 	if err != nil {
 		return nil, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,9 @@
 	nets     = 200
 )
 
+// clockRates are those of the workers' clocks, which may be 2 % slow.
+var clockRates = []float64{1, 0.98, 1.01}
+
 // A judge sees each task's runs on all workers.
 type judge struct {
 	mu       sync.Mutex
@@ -72,7 +75,10 @@
 	node   platform.Node
 	file   string
 	binary string
-	log    *os.File
+	// listens is where the process listens for its peers, which reach it through
+	// a proxy.
+	listens string
+	log     *os.File
 	// turn is held by the one fault that the process suffers.
 	turn sync.Mutex
 	mu   sync.Mutex
@@ -82,7 +88,7 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cmd = exec.Command(n.binary, "serve", "--node-file", n.file)
+	n.cmd = exec.Command(n.binary, "serve", "--node-file", n.file, "--peer-listen", n.listens)
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	return n.cmd.Start()
 }
@@ -111,6 +117,8 @@
 	net   uint64
 	nodes []*node
 	store *standin.Store
+	// proxies stand before the store, the workers and the processes' peers.
+	proxies []*proxy
 }
 
 func newWorld(t *testing.T, binary string, seed uint64) *world {
@@ -155,10 +163,13 @@
 func (w *world) addWorker(t *testing.T, id, zone string) {
 	worker := standin.NewLeasedWorker(standin.LeasedWorkerConfig{
 		ID: id, RunTime: taskTime, Tasks: tasksPerWorker, Started: w.judge.started, Ended: w.judge.ended,
+		ClockRate: clockRates[len(w.proxies)%len(clockRates)],
 	})
 	server := httptest.NewServer(worker)
 	t.Cleanup(server.Close)
-	w.store.Put(platform.WorkerTopic, id, worker.Entry("editor", server.Listener.Addr().String(), zone))
+	p := newProxy(t, "127.0.0.1:0", server.Listener.Addr().String())
+	w.proxies = append(w.proxies, p)
+	w.store.Put(platform.WorkerTopic, id, worker.Entry("editor", p.address(), zone))
 }
 
 func (w *world) addNode(t *testing.T, binary string, number int, zone string, zones map[string]string, store string) {
@@ -166,10 +177,13 @@
 	is := is.New(t)
 	ip := fmt.Sprintf("127.0.%d.%d", w.net, number+1)
 	port := freePorts(t, ip)
+	listens := fmt.Sprintf("%s:%d", ip, port+4)
+	toStore := newProxy(t, "127.0.0.1:0", store)
+	w.proxies = append(w.proxies, toStore, newProxy(t, fmt.Sprintf("%s:%d", ip, port), listens))
 	text, err := json.Marshal(map[string]any{
 		"node_name": fmt.Sprintf("entry-%d", number), "ip": ip, "zone": zone, "zones": zones,
 		"listen_addrs": map[string]string{"frontend": fmt.Sprintf("%s:%d", ip, port+2), "ready": fmt.Sprintf("%s:%d", ip, port+3)},
-		"port_range":   []int{port, port + 1}, "bounds": map[string]any{"grace_s": 6}, "platform": map[string]string{"address": store},
+		"port_range":   []int{port, port + 1}, "bounds": map[string]any{"grace_s": 6}, "platform": map[string]string{"address": toStore.address()},
 	})
 	is.NoErr(err)
 	dir := t.TempDir()
@@ -186,15 +200,22 @@
 		}
 		_ = log.Close()
 	})
-	w.nodes = append(w.nodes, &node{node: settings, file: file, binary: binary, log: log})
+	w.nodes = append(w.nodes, &node{node: settings, file: file, binary: binary, listens: listens, log: log})
 }
 
-// freePorts returns the first of four ports that nobody uses.
+// portsPerNode is the number of ports of a process.
+const portsPerNode = 5
+
+// freePorts returns the first of the ports of a process, which nobody uses.
 func freePorts(t *testing.T, ip string) int {
 	t.Helper()
-	for port := 21_000; port < 31_000; port += 4 {
+	// A process that another seed forks meanwhile would hold the ports open until
+	// it has begun its own program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	for port := 21_000; port < 31_000; port += portsPerNode {
 		var open []net.Listener
-		for n := range 4 {
+		for n := range portsPerNode {
 			if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+n)); err == nil {
 				open = append(open, l)
 			}
@@ -202,7 +223,7 @@
 		for _, l := range open {
 			_ = l.Close()
 		}
-		if len(open) == 4 {
+		if len(open) == portsPerNode {
 			return port
 		}
 	}
@@ -264,11 +285,25 @@
 	return resp.StatusCode
 }
 
-// fault does something to a process, and undoes it.
+const (
+	// processKinds is the number of kinds of fault of a process, which come before
+	// those of connections and the store; kinds is the number of all. Half of them
+	// are treatments of connections.
+	processKinds = 3
+	kinds        = 14
+)
+
+// fault does something at random, and undoes it.
 func (w *world) fault(random *rand.Rand, wait *sync.WaitGroup) {
 	n := w.nodes[random.IntN(len(w.nodes))]
 	lasts := time.Duration(200+random.IntN(2500)) * time.Millisecond
-	kind := random.IntN(4)
+	p := w.proxies[random.IntN(len(w.proxies))]
+	with := delaying + treatment(random.IntN(int(treatments-delaying)))
+	kind := random.IntN(kinds)
+	if kind >= processKinds {
+		wait.Go(func() { w.harm(kind, p, with, lasts) })
+		return
+	}
 	wait.Go(func() {
 		n.turn.Lock()
 		defer n.turn.Unlock()
@@ -286,14 +321,32 @@
 			n.signal(syscall.SIGTERM)
 			n.wait()
 			_ = n.start()
-		case 3:
-			w.store.SetDown(true)
-			time.Sleep(lasts)
-			w.store.SetDown(false)
 		}
 	})
 }
 
+// harm does something to connections or to the store, and undoes it.
+func (w *world) harm(kind int, p *proxy, with treatment, lasts time.Duration) {
+	switch kind {
+	case 3:
+		w.store.SetDown(true)
+		time.Sleep(lasts)
+		w.store.SetDown(false)
+	case 4:
+		w.store.SetFaults(standin.StoreFaults{Delay: slowBy, LoseAnswers: 3, DropRequests: 3})
+		time.Sleep(lasts)
+		w.store.SetFaults(standin.StoreFaults{})
+	case 5:
+		for _, topic := range []string{platform.WorkerTopic, platform.OperatorTopic, platform.MemberTopic} {
+			w.store.Expire(topic, w.store.End(topic))
+		}
+	case 6:
+		p.reset()
+	default:
+		p.treat(with, lasts)
+	}
+}
+
 // seeds returns the seeds to run: one, or SOAK_SEEDS from SOAK_FIRST on.
 func seeds() (first, n uint64) {
 	n = 1
--- a/standin/leased_worker.go
+++ b/standin/leased_worker.go
@@ -18,6 +18,8 @@
 	RunTime time.Duration
 	// Tasks is the number of tasks that fit.
 	Tasks int
+	// ClockRate is how fast the worker's clock runs. Zero means 1.
+	ClockRate float64
 	// Started and Ended, unless nil, are told of each run's begin and end.
 	Started, Ended func(task string)
 }
@@ -75,6 +77,9 @@
 
 // NewLeasedWorker returns a worker without tasks.
 func NewLeasedWorker(cfg LeasedWorkerConfig) *LeasedWorker {
+	if cfg.ClockRate == 0 {
+		cfg.ClockRate = 1
+	}
 	return &LeasedWorker{
 		cfg:     cfg,
 		start:   time.Now(),
@@ -136,7 +141,9 @@
 	}
 }
 
-func (w *LeasedWorker) clock() time.Duration { return time.Since(w.start) }
+func (w *LeasedWorker) clock() time.Duration {
+	return time.Duration(float64(time.Since(w.start)) * w.cfg.ClockRate)
+}
 
 func (w *LeasedWorker) refuse(rw http.ResponseWriter, reason string) {
 	rw.WriteHeader(http.StatusConflict)
@@ -146,7 +153,8 @@
 // extend moves the end of the lease, which ends all that runs.
 func (w *LeasedWorker) extend(deadline time.Duration) {
 	w.lease = max(w.lease, min(deadline, w.clock()+maxLease))
-	time.AfterFunc(w.lease-w.clock()+time.Millisecond, func() {
+	left := time.Duration(float64(w.lease-w.clock()) / w.cfg.ClockRate)
+	time.AfterFunc(left+time.Millisecond, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.clock() <= w.lease {
