--- a/cmd/amaranthwell/orders.go
+++ b/cmd/amaranthwell/orders.go
@@ -85,7 +85,7 @@
 // fresh reports whether an order may still be sent.
 func fresh(o dispatch.Order) bool { return bootTime().Sub(o.Decided) < staleOrder }
 
-// send sends one order in its worker's turn, and reports its outcome.
+// send sends one order and reports its outcome.
 func (o *orders) send(order dispatch.Order, counters map[dispatch.Outcome]*metrics.Counter, call func(context.Context) (dispatch.Outcome, error), report func(time.Time, *dispatch.Instance, dispatch.Outcome)) {
 	outcome, err := dispatch.NotSent, error(nil)
 	if fresh(order) {
@@ -113,10 +113,17 @@
 	}})
 }
 
-func (o *orders) start(s dispatch.Start) {
-	lane := o.lane(s.Worker)
+// inTurn calls send in the background, in the worker's turn.
+func (o *orders) inTurn(worker string, send func()) {
+	lane := o.lane(worker)
 	go func() {
 		defer enter(lane)()
+		send()
+	}()
+}
+
+func (o *orders) start(s dispatch.Start) {
+	o.inTurn(s.Worker, func() {
 		var clock time.Duration
 		o.send(s.Order, o.starts, func(ctx context.Context) (outcome dispatch.Outcome, err error) {
 			outcome, clock, err = o.workers.Start(ctx, s)
@@ -124,13 +131,11 @@
 		}, func(now time.Time, i *dispatch.Instance, outcome dispatch.Outcome) {
 			i.StartDone(now, s, outcome, clock)
 		})
-	}()
+	})
 }
 
 func (o *orders) stop(s dispatch.Stop) {
-	lane := o.lane(s.Worker)
-	go func() {
-		defer enter(lane)()
+	o.inTurn(s.Worker, func() {
 		var clock time.Duration
 		o.send(s.Order, o.stops, func(ctx context.Context) (outcome dispatch.Outcome, err error) {
 			outcome, clock, err = o.workers.Stop(ctx, s)
@@ -138,7 +143,7 @@
 		}, func(now time.Time, i *dispatch.Instance, outcome dispatch.Outcome) {
 			i.StopDone(now, s, outcome, clock)
 		})
-	}()
+	})
 }
 
 func (o *orders) look(l dispatch.Look) {
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -76,6 +76,9 @@
 	// runsPerRound is the number of runs of a task that one leader may order
 	// before the numbers of the next leader's runs begin.
 	runsPerRound = 64
+	// numberLeap is the number of run numbers that are passed over when a worker
+	// knows a later run of a task.
+	numberLeap = runsPerRound / 4
 	// maxWorkersTogether is the number of workers above which each zone has a
 	// leader of its own.
 	maxWorkersTogether = 120
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -203,7 +203,7 @@
 		d.peek(now, w)
 	case OldNumber:
 		if r.task != nil {
-			r.task.number += runsPerRound / 4
+			r.task.number += numberLeap
 		}
 	}
 	d.ended(now, w, r, EndedOther)
