--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -133,11 +133,12 @@
 func (i *Instance) SetFleet(now time.Time, workers int) {
 	i.advance(now)
 	i.fleet = workers
-	i.separate()
+	i.informLeadership()
 }
 
-// separate lets each zone have a leader of its own if there are many workers.
-func (i *Instance) separate() {
+// informLeadership tells the leadership what it goes by of the workers: whether there
+// are too many for one leader, and how new the worker table is.
+func (i *Instance) informLeadership() {
 	workers := len(i.dispatcher.order)
 	if workers == 0 {
 		workers = i.fleet
@@ -259,7 +260,7 @@
 // Tick moves what depends on the time.
 func (i *Instance) Tick(now time.Time) {
 	i.advance(now)
-	i.separate()
+	i.informLeadership()
 	if beat := i.leadership.Tick(now); beat != nil {
 		i.broadcast(beat)
 	}
