dispatch, cmd/amaranthwell: the log tells the age and the source of what decides

Now: the age of the configuration with each refused request and accepted job, the age of the worker table with each start and each new leadership, the source and the version of each entry of the worker table, and both ages as metrics.

The version of an entry is the offset of its record in the store. It travels with the entries that instances send each other, and decides nothing yet.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -55,6 +55,8 @@
 	// hasLeader is true if the zone of this instance has a leader, and leading
 	// is true if this instance leads a zone.
 	hasLeader, leading atomic.Bool
+	// tablesReadAt and workersReadAt are those of the instance.
+	tablesReadAt, workersReadAt atomic.Pointer[time.Time]
 	// leadingChanged receives a value when leading changes, unless an earlier
 	// value is still unread.
 	leadingChanged chan struct{}
@@ -88,6 +90,8 @@
 	}
 	cfg.Metrics.NewGauge("amaranthwell_zone_led", func() float64 { return gaugeValue(l.hasLeader.Load()) })
 	cfg.Metrics.NewGauge("amaranthwell_zone_leading", func() float64 { return gaugeValue(l.leading.Load()) })
+	cfg.Metrics.NewGauge("amaranthwell_tables_age_seconds", func() float64 { return ageSeconds(&l.tablesReadAt) })
+	cfg.Metrics.NewGauge("amaranthwell_workers_age_seconds", func() float64 { return ageSeconds(&l.workersReadAt) })
 	cfg.Metrics.NewGauge("amaranthwell_events_waiting", func() float64 { return float64(len(l.events)) })
 	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
 		Self:        cfg.Node.PeerAddress,
@@ -128,9 +132,27 @@
 	return 0
 }
 
-// publishState updates hasLeader and leading, which other goroutines read, from the
-// instance, and signals a change of leading.
+// ageSeconds returns the time since at in seconds, or -1 if at is not set.
+func ageSeconds(at *atomic.Pointer[time.Time]) float64 {
+	t := at.Load()
+	if t == nil || t.IsZero() {
+		return -1
+	}
+	return bootTime().Sub(*t).Seconds()
+}
+
+// storeTime sets at to t, unless it has this value.
+func storeTime(at *atomic.Pointer[time.Time], t time.Time) {
+	if known := at.Load(); known == nil || !known.Equal(t) {
+		at.Store(&t)
+	}
+}
+
+// publishState updates what other goroutines read of the instance, and signals a change
+// of leading.
 func (l *dispatchLoop) publishState(now time.Time, i *dispatch.Instance) {
+	storeTime(&l.tablesReadAt, i.TablesReadAt())
+	storeTime(&l.workersReadAt, i.WorkersReadAt())
 	l.hasLeader.Store(i.HasLeader(now))
 	if i.Leading() == l.leading.Load() {
 		return
@@ -191,9 +213,10 @@
 
 // logRefusal logs a request that was refused before it became a job.
 func (l *dispatchLoop) logRefusal(path, request string, status int, reason string) {
-	l.post(func(now time.Time, _ *dispatch.Instance) {
+	l.post(func(now time.Time, i *dispatch.Instance) {
 		l.decisions.write(now, dispatch.Decision{Event: "request-refused", Subject: path, Fields: []any{
 			"request", request, "status", status, "reason", reason,
+			"tables", i.TablesVersion(), "tables-read", dispatch.SinceOrNever(now, i.TablesReadAt()),
 		}})
 	})
 }
--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -78,6 +78,7 @@
 	}
 	for {
 		s.recordStoreAnswer("tables")
+		s.loop.post(func(now time.Time, i *dispatch.Instance) { i.RecordTablesRead(now) })
 		for _, r := range records {
 			if r.Key == platform.ConfigurationKey && !r.Deleted {
 				s.applyTables(r.Value)
@@ -160,9 +161,6 @@
 	for _, r := range records {
 		latest[r.Key] = r
 	}
-	if len(latest) == 0 {
-		return
-	}
 	changed := make(map[string]dispatch.Worker)
 	var removed []string
 	for key, r := range latest {
@@ -175,6 +173,7 @@
 		}
 	}
 	s.loop.post(func(now time.Time, i *dispatch.Instance) {
+		i.RecordWorkersRead(now)
 		for _, w := range changed {
 			i.SetWorker(now, w)
 		}
@@ -195,6 +194,8 @@
 		_ = s.logger.Log("event", "worker-entry-unreadable", "id", r.Key, "error", err)
 		return dispatch.Worker{}, false
 	}
+	// Version 0 means that the version is not known.
+	w.Version = r.Offset + 1
 	return w, true
 }
 
--- a/dispatch/codec.go
+++ b/dispatch/codec.go
@@ -99,6 +99,7 @@
 		Gone:         e.gone,
 		BornMillis:   w.Incarnation,
 		Revision:     e.revision,
+		Version:      w.Version,
 	}
 }
 
@@ -115,5 +116,6 @@
 		Capacity:    Resources{Millicores: int(w.Millicores), Memory: int(w.MemoryMib), Accelerators: int(w.Accelerators)},
 		Leaving:     w.Leaving,
 		Incarnation: w.BornMillis,
+		Version:     w.Version,
 	}, err == nil
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,6 +48,9 @@
 	onFenced func(now time.Time, zone string)
 	// zoneOf returns an instance's availability zone.
 	zoneOf func(netip.AddrPort) string
+	// workersReadAt returns when the worker table was last read from the store, or
+	// zero.
+	workersReadAt func() time.Time
 	// onForgotten is called with the ID of a worker that was removed.
 	onForgotten func(id string)
 	pollCount   uint64
@@ -89,7 +92,7 @@
 			w.nextPoll = now
 		}
 	}
-	d.effects.decide("zone-leadership-started", zone, "term", term)
+	d.effects.decide("zone-leadership-started", zone, "term", term, "workers-read", SinceOrNever(now, d.workersReadAt()))
 }
 
 // dropTerm ceases to lead zone.
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -129,11 +129,11 @@
 		return
 	}
 	if w.Gone {
-		i.RemoveWorker(now, w.Id)
+		i.removeWorker(now, w.Id, from.String())
 		return
 	}
 	if entry, ok := decodeWorker(w); ok {
-		i.SetWorker(now, entry)
+		i.setWorker(now, entry, from.String())
 	}
 }
 
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -44,6 +44,9 @@
 	leaving   bool
 	// expectedWorkers is the number of workers that an earlier leader knew.
 	expectedWorkers int
+	// tablesReadAt and workersReadAt are when the store last answered a read of the
+	// operators' configuration and of the worker table, or zero.
+	tablesReadAt, workersReadAt time.Time
 }
 
 // peerState records which state a peer and this instance have received from each
@@ -82,6 +85,7 @@
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
+	i.dispatcher.workersReadAt = i.WorkersReadAt
 	i.dispatcher.onForgotten = func(id string) { i.table.remove(id) }
 	return i
 }
@@ -157,14 +161,40 @@
 	i.advance(now)
 	if version > i.version {
 		i.version, i.tables = version, tables
-		i.effects.decide("configuration", "tables", "version", version)
+		i.effects.decide("configuration", "tables", "version", version, "read", SinceOrNever(now, i.tablesReadAt))
 	}
 }
 
+// RecordTablesRead records that the store has answered a read of the operators'
+// configuration, whether or not it is a new one.
+func (i *Instance) RecordTablesRead(now time.Time) {
+	i.advance(now)
+	i.tablesReadAt = now
+}
+
+// RecordWorkersRead records that the store has answered a read of the worker table or
+// of its changes.
+func (i *Instance) RecordWorkersRead(now time.Time) {
+	i.advance(now)
+	i.workersReadAt = now
+}
+
+// TablesReadAt returns when the store last answered a read of the operators'
+// configuration, or the zero time.
+func (i *Instance) TablesReadAt() time.Time { return i.tablesReadAt }
+
+// WorkersReadAt returns when the store last answered a read of the worker table, or the
+// zero time.
+func (i *Instance) WorkersReadAt() time.Time { return i.workersReadAt }
+
+// TablesVersion returns the version of the operators' configuration that this instance
+// knows, or 0.
+func (i *Instance) TablesVersion() uint64 { return i.version }
+
 // SetWorkers replaces the worker table with the one that this instance has read from
 // the store.
 func (i *Instance) SetWorkers(now time.Time, workers []Worker) {
-	i.advance(now)
+	i.RecordWorkersRead(now)
 	listed := make(map[string]bool, len(workers))
 	for _, w := range workers {
 		listed[w.ID] = true
@@ -177,21 +207,38 @@
 	}
 }
 
-// SetWorker adds or updates an entry of the worker table.
+// fromStore is the source, in the log, of an entry that this instance has read from the
+// store.
+const fromStore = "store"
+
+// SetWorker adds or updates an entry of the worker table, as read from the store.
 func (i *Instance) SetWorker(now time.Time, w Worker) {
 	i.advance(now)
+	i.setWorker(now, w, fromStore)
+}
+
+// setWorker adds or updates an entry of the worker table. source is fromStore or the
+// address of the peer that sent the entry.
+func (i *Instance) setWorker(now time.Time, w Worker, source string) {
 	if i.table.set(w) {
-		i.effects.decide("worker", w.ID, "zone", w.Zone, "address", w.Address, "leaving", w.Leaving, "millicores", w.Capacity.Millicores)
+		i.effects.decide("worker", w.ID, "zone", w.Zone, "address", w.Address, "leaving", w.Leaving,
+			"millicores", w.Capacity.Millicores, "version", w.Version, "from", source)
 	}
 	i.dispatcher.setWorker(now, w)
 }
 
-// RemoveWorker records that a worker is no longer listed.
+// RemoveWorker records that the store no longer lists a worker.
 func (i *Instance) RemoveWorker(now time.Time, id string) {
 	i.advance(now)
+	i.removeWorker(now, id, fromStore)
+}
+
+// removeWorker records that a worker is no longer listed. source is fromStore or the
+// address of the peer that reported it.
+func (i *Instance) removeWorker(now time.Time, id, source string) {
 	w := i.dispatcher.workers[id]
 	if w != nil && w.missingSince.IsZero() {
-		i.effects.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs))
+		i.effects.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs), "version", w.Version, "from", source)
 	}
 	i.dispatcher.markWorkerMissing(now, id)
 	if w != nil {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -79,7 +79,8 @@
 	defer func() {
 		if len(runs) > 0 {
 			d.effects.routine("tasks-started", j.ID, "runs", string(runs), "waiting", len(j.waiting), "queued", len(d.queue.jobs),
-				"expected", j.chainTime, "left", j.objective.Sub(now), "round", j.EarlierLeaders)
+				"expected", j.chainTime, "left", j.objective.Sub(now), "round", j.EarlierLeaders,
+				"workers-read", SinceOrNever(now, d.workersReadAt()))
 		}
 	}()
 	for _, t := range slices.Clone(j.waiting) {
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -56,7 +56,8 @@
 		o = &openJob{job: job}
 		r.open[job.ID] = o
 	}
-	r.instance.effects.routine("job-accepted", job.ID, "request", job.Request, "route", job.Route, "tables", r.instance.version,
+	r.instance.effects.routine("job-accepted", job.ID, "request", job.Request, "route", job.Route,
+		"tables", r.instance.version, "tables-read", SinceOrNever(now, r.instance.tablesReadAt),
 		"patience", job.CallerDeadline.Sub(now), "leader", r.leader.Leader, "term", r.leader.Term, "again", len(o.callers) > 0)
 	o.job.CallerDeadline = later(o.job.CallerDeadline, job.CallerDeadline)
 	o.callers = append(o.callers, caller)
@@ -112,7 +113,7 @@
 		if r.leaderlessSince.IsZero() {
 			r.leaderlessSince = now
 			r.formerLastSeen = claim.LastSeen
-			i.effects.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", sinceOrNever(now, claim.LastSeen))
+			i.effects.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", SinceOrNever(now, claim.LastSeen))
 		}
 		if claim.Term != r.leader.Term {
 			r.leader = peer.Claim{}
@@ -158,8 +159,8 @@
 	env.Withdrawn = append(env.Withdrawn, id)
 }
 
-// sinceOrNever returns the time from t to now for the log, or "never" if t is zero.
-func sinceOrNever(now, t time.Time) any {
+// SinceOrNever returns the time from t to now for the log, or "never" if t is zero.
+func SinceOrNever(now, t time.Time) any {
 	if t.IsZero() {
 		return "never"
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,9 +20,12 @@
 	Leaving bool
 	// Incarnation distinguishes the incarnations of a worker under the same ID.
 	Incarnation int64
+	// Version orders the entries of one worker: the entry with the highest version
+	// is the latest. It is 0 if it is not known.
+	Version int64
 }
 
-// equal reports whether w and v are equal.
+// equal reports whether w and v are equal, apart from their versions.
 func (w Worker) equal(v Worker) bool {
 	return w.ID == v.ID && w.Address == v.Address && w.Pool == v.Pool && w.Zone == v.Zone && w.Rack == v.Rack &&
 		w.Capacity == v.Capacity && w.Leaving == v.Leaving && w.Incarnation == v.Incarnation && slices.Equal(w.Labels, v.Labels)
