--- /dev/null
+++ b/dispatch/worker_versions_test.go
@@ -0,0 +1,94 @@
+package dispatch_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// versionedWorker returns an entry of the worker w-1.
+func versionedWorker(version int64, leaving bool) dispatch.Worker {
+	return dispatch.Worker{
+		ID: "w-1", Address: netip.MustParseAddrPort("10.0.1.1:80"), Pool: "editor", Zone: "hr-north-a",
+		Capacity: dispatch.Resources{Millicores: 9000, Memory: 100}, Leaving: leaving, Version: version,
+	}
+}
+
+// peerEntry returns the entry of the worker w-1 as a peer sends it.
+func peerEntry(version int64, revision uint64) *peer.Worker {
+	return &peer.Worker{
+		Id: "w-1", Address: "10.0.1.1:80", Pool: "editor", Zone: "hr-north-a", Millicores: 9000, MemoryMib: 100,
+		Version: version, Revision: revision,
+	}
+}
+
+// takeOverFrom makes a leader leave and name the instance as its successor.
+func (s *scriptedInstance) takeOverFrom(leader netip.AddrPort, term uint64) {
+	s.Receive(s.now, leader, &peer.Envelope{
+		Zone: "hr-north-a", Leaving: true,
+		Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-a", Term: term}}, Successor: selfAddress.String()},
+	})
+	s.RecordWorkersRead(s.now)
+	s.advance(20 * time.Millisecond)
+}
+
+// Guards against tasks that start on a leaving worker, because an older entry of the
+// worker, sent by another leader, has replaced the newer one.
+func TestOlderEntryFromPeerDoesNotReplaceNewerOne(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	s.SetWorker(s.now, versionedWorker(8, true))
+	laterTerm := uint64(1) << 62
+	s.Receive(s.now, secondLeader, &peer.Envelope{
+		Zone:    "hr-north-a",
+		Beat:    &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-a", Term: laterTerm}}, TableRevision: 1},
+		Workers: []*peer.Worker{peerEntry(3, 1)},
+	})
+	s.advance(20 * time.Millisecond)
+	is.True(!s.Leading())
+	s.takeOverFrom(secondLeader, laterTerm)
+	is.True(s.Leading())
+	s.Submit(s.now, 1, s.job("5c0e7a21d94b36f8"))
+	s.advance(20 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 0)
+
+	// The worker stays after all: the later entry counts.
+	s.SetWorker(s.now, versionedWorker(9, false))
+	s.advance(20 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 1)
+}
+
+// Guards against instances that send each other whole worker tables without end, because
+// one leader lists a worker that another leader has removed.
+func TestRemovalByLeaderOfAnotherZoneRequestsNoTableAgain(t *testing.T) {
+	is := is.New(t)
+	now := simulationStart
+	i := dispatch.NewInstance(now, dispatch.Config{Self: selfAddress, Zone: "hr-north-a", Zones: simulationZones, Wall: now})
+	i.SetExpectedWorkers(now, 350) // so many that each zone has its own leader
+	receive := func(from netip.AddrPort, zone string, workers ...*peer.Worker) {
+		i.Receive(now, from, &peer.Envelope{
+			Zone: zone, Workers: workers,
+			Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: zone, Term: 1024}}, TableRevision: 7},
+		})
+	}
+	removed := &peer.Worker{Id: "w-1", Zone: "hr-north-a", Gone: true, Version: 9, Revision: 7}
+	receive(firstLeader, "hr-north-a", peerEntry(3, 7))
+	receive(secondLeader, "hr-north-b", removed)
+	i.Take(now)
+
+	now = now.Add(100 * time.Millisecond)
+	receive(firstLeader, "hr-north-a")
+	receive(secondLeader, "hr-north-b")
+	replies := 0
+	for _, send := range i.Take(now).Sends {
+		replies++
+		is.Equal(send.Envelope.Beat.WorkersRevision, uint64(7)) // up to there the instance has the peer's table
+	}
+	is.Equal(replies, 2)
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -51,6 +51,9 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	faults StoreFaults
+	// connections holds the remote addresses of all requests so far. The value is true
+	// if the connection is silent.
+	connections map[string]bool
 	// changed is closed and replaced when a record is added or the faults change.
 	changed chan struct{}
 	// appends is the number of appends that were accepted in the second whose Unix
@@ -90,7 +93,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	s := &Store{cfg: cfg, topics: make(map[string]*topic), changed: make(chan struct{})}
+	s := &Store{cfg: cfg, topics: make(map[string]*topic), connections: make(map[string]bool), changed: make(chan struct{})}
 	s.router = chi.NewRouter()
 	s.router.Get("/log-newest", s.injectFaults(s.serveNewest))
 	s.router.Get("/log-read", s.injectFaults(s.serveRead))
@@ -121,6 +124,17 @@
 	return s.faults
 }
 
+// SilenceConnections makes all connections on which a request has arrived silent: they
+// stay open, and no request on them, not even a read that is waiting for a record, has an
+// effect or gets an answer. New connections work.
+func (s *Store) SilenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address := range s.connections {
+		s.connections[address] = true
+	}
+}
+
 // SetDown replaces the faults of s: if down is true, s refuses all requests; otherwise
 // it has no faults.
 func (s *Store) SetDown(down bool) { s.SetFaults(StoreFaults{Down: down}) }
--- a/standin/store_http.go
+++ b/standin/store_http.go
@@ -28,11 +28,17 @@
 func (s *Store) injectFaults(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		silent := s.connections[r.RemoteAddr]
+		s.connections[r.RemoteAddr] = silent
 		faults := s.faults
 		if faults.DropRequests > 0 {
 			s.faults.DropRequests--
 		}
 		s.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		if faults.DropRequests > 0 {
 			panic(http.ErrAbortHandler)
 		}
@@ -84,7 +90,7 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for timedOut := false; ; {
-		changed, answered := s.tryRead(w, query.Get("topic"), from, timedOut)
+		changed, answered := s.tryRead(w, r, from, timedOut)
 		if answered {
 			return
 		}
@@ -101,12 +107,14 @@
 // tryRead answers a read if there is a record at the offset from, if that record has
 // been dropped, if the store is down or if timedOut is true because the time to wait is
 // over. Otherwise it returns the channel that is closed when the read is to be tried
-// again.
-func (s *Store) tryRead(w http.ResponseWriter, name string, from int64, timedOut bool) (changed <-chan struct{}, answered bool) {
+// again, which never happens on a silent connection.
+func (s *Store) tryRead(w http.ResponseWriter, r *http.Request, from int64, timedOut bool) (changed <-chan struct{}, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(name)
+	t := s.topic(r.URL.Query().Get("topic"))
 	switch {
+	case s.connections[r.RemoteAddr]:
+		return nil, false
 	case s.faults.Down:
 		http.Error(w, "the store is down", http.StatusServiceUnavailable)
 	case from < t.first:
