--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// tablesWait is how long a read of the operators' records waits for a new one.
-	tablesWait = 25 * time.Second
+	// tablesWait is how long a read of the operators' records waits for a new one. Only
+	// an answer shows that there is none, so that the wait bounds for how long a silent
+	// connection goes unnoticed.
+	tablesWait = time.Second
 	// workersEvery is the time between a leader's reads of the changes of the worker
 	// table.
 	workersEvery = 700 * time.Millisecond
@@ -45,6 +47,8 @@
 			pause = minPause
 		}
 		s.failedReads.Store(readName, true)
+		// The kept connections may be silent, too.
+		s.store.Close()
 		_ = s.logger.Log("event", "store-lost", "reading", readName, "error", err, "pause", pause)
 		sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
--- a/httpjson/do.go
+++ b/httpjson/decode.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 )
@@ -29,20 +28,11 @@
 	return fmt.Sprintf("status %d: %s", e.Status, e.Message)
 }
 
-// Do sends req and decodes the JSON response into v. It returns a *StatusError if
-// the status is not 200.
-func Do(client *http.Client, req *http.Request, v any) error {
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return NewStatusError(resp.StatusCode, body)
+// Decode decodes body, the JSON body of a response with the given status, into v. It
+// returns a *StatusError if the status is not 200.
+func Decode(status int, body []byte, v any) error {
+	if status != http.StatusOK {
+		return NewStatusError(status, body)
 	}
 	return json.Unmarshal(body, v)
 }
--- a/httpjson/doc.go
+++ b/httpjson/doc.go
@@ -1,2 +1,2 @@
-// Package httpjson sends HTTP requests and decodes their JSON responses.
+// Package httpjson decodes the JSON bodies of HTTP responses.
 package httpjson
--- a/httpjson/example_test.go
+++ b/httpjson/example_test.go
@@ -2,37 +2,22 @@
 
 import (
 	"fmt"
-	"net/http"
-	"net/http/httptest"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/amaranthwell/amaranthwell/httpjson"
 )
 
-func ExampleDo() {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/offset" {
-			http.Error(w, "no such call", http.StatusNotFound)
-			return
-		}
-		fmt.Fprint(w, `{"offset":7}`)
-	}))
-	defer server.Close()
-	for _, path := range []string{"/offset", "/other"} {
-		req, err := http.NewRequest(http.MethodGet, server.URL+path, http.NoBody)
-		if err != nil {
-			fmt.Println(err)
-			return
-		}
+func ExampleDecode() {
+	for status, body := range map[int]string{200: `{"offset":7}`, 404: "no such call"} {
 		var answer struct {
 			Offset int `json:"offset"`
 		}
-		err = httpjson.Do(http.DefaultClient, req, &answer)
-		var status *httpjson.StatusError
-		fmt.Println(answer.Offset, errors.As(err, &status))
+		err := httpjson.Decode(status, []byte(body), &answer)
+		var refused *httpjson.StatusError
+		fmt.Println(answer.Offset, errors.As(err, &refused))
 	}
-	// Output:
+	// Unordered output:
 	// 7 false
 	// 0 true
 }
