dispatch: of the entries of one worker the one with the highest version counts

Cause: instances pass the worker table on to each other, and the last entry of a worker to arrive replaced the one before. A leader with an old table could so undo a newer entry, also the one by which the worker leaves. An instance that then took over the worker's zone started tasks there until it had read the store again.

Change: an entry carries the offset of its record in the store as its version. An older entry, or an older removal, changes nothing; an older entry of a worker that is not listed any more lists it again with its latest attributes, because runs may continue on it.

Why it works: the store orders the records of a worker, so that each instance keeps the latest that it has heard of, in whatever order and from whichever source entries arrive.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,8 +51,8 @@
 	// workersReadAt returns when the worker table was last read from the store, or
 	// zero.
 	workersReadAt func() time.Time
-	// onForgotten is called with the ID of a worker that was removed.
-	onForgotten func(id string)
+	// onForgotten is called with a worker that was removed.
+	onForgotten func(w Worker)
 	pollCount   uint64
 }
 
@@ -179,7 +179,7 @@
 		return
 	}
 	delete(d.workers, w.ID)
-	d.onForgotten(w.ID)
+	d.onForgotten(w.Worker)
 	if i := slices.Index(d.sortedWorkers, w); i >= 0 {
 		d.sortedWorkers = slices.Delete(d.sortedWorkers, i, i+1)
 	}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if w.Gone {
-		i.removeWorker(now, w.Id, from.String())
+		i.removeWorker(now, w.Id, w.Version, from.String())
 		return
 	}
 	if entry, ok := decodeWorker(w); ok {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -86,7 +86,7 @@
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
 	i.dispatcher.workersReadAt = i.WorkersReadAt
-	i.dispatcher.onForgotten = func(id string) { i.table.remove(id) }
+	i.dispatcher.onForgotten = func(w Worker) { i.table.remove(w.ID, w.Version) }
 	return i
 }
 
@@ -220,22 +220,27 @@
 // setWorker adds or updates an entry of the worker table. source is fromStore or the
 // address of the peer that sent the entry.
 func (i *Instance) setWorker(now time.Time, w Worker, source string) {
-	if i.table.set(w) {
-		i.effects.decide("worker", w.ID, "zone", w.Zone, "address", w.Address, "leaving", w.Leaving,
-			"millicores", w.Capacity.Millicores, "version", w.Version, "from", source)
+	latest, changed := i.table.set(w)
+	if changed {
+		i.effects.decide("worker", w.ID, "zone", latest.Zone, "address", latest.Address, "leaving", latest.Leaving,
+			"millicores", latest.Capacity.Millicores, "version", latest.Version, "received", w.Version, "from", source)
 	}
-	i.dispatcher.setWorker(now, w)
+	i.dispatcher.setWorker(now, latest)
 }
 
 // RemoveWorker records that the store no longer lists a worker.
 func (i *Instance) RemoveWorker(now time.Time, id string) {
 	i.advance(now)
-	i.removeWorker(now, id, fromStore)
+	version := int64(0)
+	if w := i.dispatcher.workers[id]; w != nil {
+		version = w.Version
+	}
+	i.removeWorker(now, id, version, fromStore)
 }
 
 // removeWorker records that a worker is no longer listed. source is fromStore or the
 // address of the peer that reported it.
-func (i *Instance) removeWorker(now time.Time, id, source string) {
+func (i *Instance) removeWorker(now time.Time, id string, version int64, source string) {
 	w := i.dispatcher.workers[id]
 	if w != nil && w.missingSince.IsZero() {
 		i.effects.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs), "version", w.Version, "from", source)
@@ -247,7 +252,7 @@
 			return
 		}
 	}
-	if i.table.remove(id) {
+	if i.table.remove(id, version) {
 		// Another leader may still list the worker. Its whole table is requested
 		// again.
 		for _, p := range i.peers {
--- a/dispatch/worker_table.go
+++ b/dispatch/worker_table.go
@@ -3,7 +3,8 @@
 import "slices"
 
 // table is the worker table. It keeps the revision of the last change of each entry,
-// so that a peer is sent only the entries that it lacks.
+// so that a peer is sent only the entries that it lacks. Entries of one worker arrive from
+// several sources in any order; the one with the highest version counts.
 type table struct {
 	entries  map[string]*tableEntry
 	revision uint64
@@ -17,21 +18,27 @@
 
 func newTable() *table { return &table{entries: make(map[string]*tableEntry)} }
 
-// set sets the entry of w and reports whether it changed.
-func (t *table) set(w Worker) bool {
+// set lists w. It returns the latest known entry of the worker, which is not w if a later
+// one is known, and whether the table has changed.
+func (t *table) set(w Worker) (latest Worker, changed bool) {
 	e := t.entries[w.ID]
+	if e != nil && w.Version < e.worker.Version {
+		w = e.worker
+	}
 	if e != nil && !e.gone && e.worker.equal(w) {
-		return false
+		e.worker.Version = w.Version
+		return w, false
 	}
 	t.revision++
 	t.entries[w.ID] = &tableEntry{worker: w, revision: t.revision}
-	return true
+	return w, true
 }
 
-// remove removes a worker and reports whether it was listed.
-func (t *table) remove(id string) bool {
+// remove removes a worker, unless an entry later than version is known. It reports
+// whether the worker was listed.
+func (t *table) remove(id string, version int64) bool {
 	e := t.entries[id]
-	if e == nil || e.gone {
+	if e == nil || e.gone || version < e.worker.Version {
 		return false
 	}
 	t.revision++
