dispatch: only a zone's leader removes the zone's workers from the table of others

Cause: with a leader in each zone, all leaders read the store. One that saw a worker removed told all instances so at once, while the leader of the worker's zone lists it until nothing can run there. Each removal made an instance request the whole tables of all peers again, so that the worker was listed again, then removed again by the other leader's table, and so on, up to ten times a second and instance, with 350 entries each.

Change: an instance takes the entries of a zone only from the zone's leader, if it has one. A removal read from the store makes a worker unusable as before; its entry stays until the zone's leader reports that it is gone. A whole table is requested again only if its sender comes to lead a zone of which its entries were ignored. A new leader polls a missing worker for 2.5 s from the takeover before it forgets it; before, it could forget one that had been missing for long before the first poll.

Why it works: one instance decides for each zone which workers are known, so that two tables cannot contradict each other without end.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -169,17 +169,26 @@
 	}
 }
 
-// forgetWorker removes a worker that was missing for missingWorkerTimeout, once
-// nothing can run on it.
+// forgetWorker removes a worker, of a zone that this instance leads, that was missing for
+// missingWorkerTimeout while it could be polled, once nothing can run on it.
 func (d *dispatcher) forgetWorker(now time.Time, w *worker) {
-	if w.missingSince.IsZero() || now.Sub(w.missingSince) < missingWorkerTimeout {
+	if _, led := d.terms[w.Zone]; !led || w.missingSince.IsZero() {
 		return
 	}
-	if len(w.runs) > 0 {
+	if now.Sub(later(w.missingSince, d.takenOver[w.Zone])) < missingWorkerTimeout || len(w.runs) > 0 {
 		return
 	}
-	delete(d.workers, w.ID)
+	d.dropWorker(w.ID)
 	d.onForgotten(w.Worker)
+}
+
+// dropWorker removes a worker on which no run is known.
+func (d *dispatcher) dropWorker(id string) {
+	w := d.workers[id]
+	if w == nil || len(w.runs) > 0 {
+		return
+	}
+	delete(d.workers, id)
 	if i := slices.Index(d.sortedWorkers, w); i >= 0 {
 		d.sortedWorkers = slices.Delete(d.sortedWorkers, i, i+1)
 	}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -19,6 +19,7 @@
 	for _, w := range env.Workers {
 		i.receiveWorker(now, from, w)
 	}
+	i.requestIgnoredEntries(now, from)
 	if len(env.OperatorTables) > 0 {
 		i.effects.Tables = append(i.effects.Tables, env.OperatorTables)
 	}
@@ -67,6 +68,19 @@
 	i.shareConfiguration(now, from, p)
 }
 
+// requestIgnoredEntries requests the whole worker table of a peer that has come to lead a
+// zone of which this instance ignored its entries before.
+func (i *Instance) requestIgnoredEntries(now time.Time, from netip.AddrPort) {
+	p := i.peer(from)
+	for zone := range p.ignoredZones {
+		if i.leads(now, from, zone) {
+			clear(p.ignoredZones)
+			p.receivedRevision = 0
+			return
+		}
+	}
+}
+
 func (i *Instance) peer(addr netip.AddrPort) *peerState {
 	p := i.peers[addr]
 	if p == nil {
@@ -118,18 +132,23 @@
 	}
 }
 
-// receiveWorker applies an entry of a leader's worker table, unless this instance
-// leads the entry's zone or leads another zone and the sender does not lead that of
-// the entry.
+// receiveWorker applies an entry of a leader's worker table, unless another instance, or
+// this one, leads the entry's zone. An instance that leads another zone, and reads the
+// table from the store, applies it only if the sender leads that of the entry.
 func (i *Instance) receiveWorker(now time.Time, from netip.AddrPort, w *peer.Worker) {
 	p := i.peer(from)
 	p.receivedRevision = max(p.receivedRevision, w.Revision)
 	i.leadership.SetTableAhead(from, p.receivedRevision < p.tableRevision)
-	if _, leads := i.leadership.Leads(w.Zone); leads || i.leadership.Leading() && !i.leads(now, from, w.Zone) {
+	claim, led := i.leadership.Claim(now, w.Zone)
+	if (led || i.leadership.Leading()) && !(led && claim.Leader == from) {
+		p.ignore(w.Zone)
 		return
 	}
 	if w.Gone {
-		i.removeWorker(now, w.Id, w.Version, from.String())
+		if i.table.remove(w.Id, w.Version) {
+			i.unlistWorker(now, w.Id, from.String())
+			i.dispatcher.dropWorker(w.Id)
+		}
 		return
 	}
 	if entry, ok := decodeWorker(w); ok {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -62,11 +62,23 @@
 	// receivedRevision is the revision of the peer's worker table up to which this
 	// instance has received it.
 	receivedRevision uint64
+	// ignoredZones are the zones of which entries of the peer's worker table were
+	// ignored, because another instance led the zone.
+	ignoredZones map[string]bool
 	// sentRevision is the revision of this instance's worker table up to which it was
 	// sent to the peer.
 	sentRevision uint64
 }
 
+// ignore records that an entry of the peer's worker table, of a worker in zone, was
+// ignored.
+func (p *peerState) ignore(zone string) {
+	if p.ignoredZones == nil {
+		p.ignoredZones = make(map[string]bool)
+	}
+	p.ignoredZones[zone] = true
+}
+
 // NewInstance returns the control state of a process that starts at now.
 func NewInstance(now time.Time, cfg Config) *Instance {
 	i := &Instance{
@@ -228,37 +240,20 @@
 	i.dispatcher.setWorker(now, latest)
 }
 
-// RemoveWorker records that the store no longer lists a worker.
+// RemoveWorker records that the store no longer lists a worker. The entry is kept until
+// the leader of the worker's zone knows that nothing can run on the worker.
 func (i *Instance) RemoveWorker(now time.Time, id string) {
 	i.advance(now)
-	version := int64(0)
-	if w := i.dispatcher.workers[id]; w != nil {
-		version = w.Version
-	}
-	i.removeWorker(now, id, version, fromStore)
+	i.unlistWorker(now, id, fromStore)
 }
 
-// removeWorker records that a worker is no longer listed. source is fromStore or the
-// address of the peer that reported it.
-func (i *Instance) removeWorker(now time.Time, id string, version int64, source string) {
-	w := i.dispatcher.workers[id]
-	if w != nil && w.missingSince.IsZero() {
+// unlistWorker records in the dispatcher that a worker is no longer listed. source is
+// fromStore or the address of the peer that reported it.
+func (i *Instance) unlistWorker(now time.Time, id, source string) {
+	if w := i.dispatcher.workers[id]; w != nil && w.missingSince.IsZero() {
 		i.effects.decide("worker-unlisted", id, "zone", w.Zone, "runs", len(w.runs), "version", w.Version, "from", source)
 	}
 	i.dispatcher.markWorkerMissing(now, id)
-	if w != nil {
-		if _, leads := i.leadership.Leads(w.Zone); leads {
-			// The entry is kept until nothing can run on the worker.
-			return
-		}
-	}
-	if i.table.remove(id, version) {
-		// Another leader may still list the worker. Its whole table is requested
-		// again.
-		for _, p := range i.peers {
-			p.receivedRevision = 0
-		}
-	}
 }
 
 // Leading reports whether this instance leads an availability zone, and therefore has
