dispatch: a new leader reads the worker table before it starts tasks

An instance that comes to lead a zone has the table that the former leader has sent it, and used it for as long as its own first read took, however old the table was.

Change: a new leader whose table was read from the store more than 1 s before the takeover starts tasks in the zone only once it has read the table, or after 300 ms, if the store does not answer.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -43,6 +43,11 @@
 	suspendedJobTimeout = 3 * time.Second
 	// endRetention is the time for which the end of a job is kept for its receivers.
 	endRetention = 4 * time.Second
+	// maxTableAge is the age of the worker table from which on a new leader reads it
+	// before it starts tasks, and tableReadTimeout how long it waits for that read. A
+	// leader reads the table more often than that.
+	maxTableAge      = time.Second
+	tableReadTimeout = 300 * time.Millisecond
 	// relistTimeout is the time within which a live worker is listed again after an
 	// outage of the store.
 	relistTimeout = 2 * time.Second
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -23,6 +23,9 @@
 	// when it took each of them over.
 	terms     map[string]uint64
 	takenOver map[string]time.Time
+	// unreadZones are the zones in which no task may be started, because the worker
+	// table may be too old.
+	unreadZones map[string]bool
 	// workers are the workers of the worker table by their IDs, and sortedWorkers the
 	// same workers in the order of their IDs.
 	workers       map[string]*worker
@@ -65,16 +68,17 @@
 
 func newDispatcher(self netip.AddrPort) *dispatcher {
 	return &dispatcher{
-		self:       self,
-		terms:      make(map[string]uint64),
-		takenOver:  make(map[string]time.Time),
-		workers:    make(map[string]*worker),
-		jobs:       make(map[string]*activeJob),
-		ends:       make(map[string]*keptEnd),
-		running:    make(map[TaskID]*worker),
-		duplicates: make(map[TaskID][]*worker),
-		estimates:  make(estimates),
-		topSpeed:   1,
+		self:        self,
+		terms:       make(map[string]uint64),
+		takenOver:   make(map[string]time.Time),
+		unreadZones: make(map[string]bool),
+		workers:     make(map[string]*worker),
+		jobs:        make(map[string]*activeJob),
+		ends:        make(map[string]*keptEnd),
+		running:     make(map[TaskID]*worker),
+		duplicates:  make(map[TaskID][]*worker),
+		estimates:   make(estimates),
+		topSpeed:    1,
 	}
 }
 
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -68,6 +68,7 @@
 	for !s.Leading() {
 		s.advance(10 * time.Millisecond)
 	}
+	s.RecordWorkersRead(s.now) // as a leader does at once
 	s.advance(100 * time.Millisecond)
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -21,6 +21,7 @@
 
 // place starts as many waiting tasks as the free resources allow.
 func (d *dispatcher) place(now time.Time) {
+	d.findUnreadZones(now)
 	d.queue.sort()
 	d.checkObjectives(now)
 	unplaced := 0
@@ -37,6 +38,18 @@
 	}
 }
 
+// findUnreadZones determines the zones in which no task may be started yet: those that
+// this instance has just come to lead with an old worker table, until it has read the
+// table or has waited too long for that.
+func (d *dispatcher) findUnreadZones(now time.Time) {
+	clear(d.unreadZones)
+	for zone := range d.terms {
+		if takenOver := d.takenOver[zone]; now.Sub(takenOver) < tableReadTimeout && takenOver.Sub(d.workersReadAt()) > maxTableAge {
+			d.unreadZones[zone] = true
+		}
+	}
+}
+
 // startable reports whether tasks of j may be started at now.
 func (d *dispatcher) startable(now time.Time, j *activeJob) bool {
 	if !j.queued || !j.suspendedAt.IsZero() {
@@ -130,7 +143,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range d.sortedWorkers {
-		if !w.usable(now) || w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
+		if !w.usable(now) || d.unreadZones[w.Zone] || w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
 			continue
 		}
 		runTime := w.runTime(expected)
--- a/dispatch/worker_versions_test.go
+++ b/dispatch/worker_versions_test.go
@@ -33,7 +33,6 @@
 		Zone: "hr-north-a", Leaving: true,
 		Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-a", Term: term}}, Successor: selfAddress.String()},
 	})
-	s.RecordWorkersRead(s.now)
 	s.advance(20 * time.Millisecond)
 }
 
@@ -54,6 +53,7 @@
 	is.True(!s.Leading())
 	s.takeOverFrom(secondLeader, laterTerm)
 	is.True(s.Leading())
+	s.RecordWorkersRead(s.now)
 	s.Submit(s.now, 1, s.job("5c0e7a21d94b36f8"))
 	s.advance(20 * time.Millisecond)
 	is.Equal(len(s.effects.Starts), 0)
@@ -92,3 +92,50 @@
 	}
 	is.Equal(replies, 2)
 }
+
+// Guards against tasks that a new leader starts on a leaving worker, because it uses a
+// worker table that it has not read from the store for long.
+func TestNewLeaderReadsTheWorkerTableBeforeItStartsTasks(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answered bool
+	}{{"the store answers", true}, {"the store is down", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedInstance()
+			s.heartbeats(firstLeader, 1024, 500*time.Millisecond)
+			s.SetWorker(s.now, versionedWorker(3, false))
+			s.RecordWorkersRead(s.now)
+			s.heartbeats(firstLeader, 1024, 2*time.Second)
+			s.takeOverFrom(firstLeader, 1024)
+			is.True(s.Leading())
+			job := s.job("5c0e7a21d94b36f8")
+			job.Slack = 2 * time.Second
+			s.Submit(s.now, 1, job)
+			s.advance(100 * time.Millisecond)
+			is.Equal(len(s.effects.Starts), 0) // the table is 2 s old
+			if test.answered {
+				s.RecordWorkersRead(s.now)
+				s.advance(10 * time.Millisecond)
+			} else {
+				s.advance(300 * time.Millisecond)
+			}
+			is.Equal(len(s.effects.Starts), 1)
+		})
+	}
+}
+
+// Guards against a new leader that forgets a worker, which the store has not listed for
+// long, before it knows what is running there.
+func TestNewLeaderPollsWorkersThatAreNotListed(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.SetWorker(s.now, versionedWorker(3, false))
+	s.heartbeats(firstLeader, 1024, 500*time.Millisecond)
+	s.RemoveWorker(s.now, "w-1")
+	s.heartbeats(firstLeader, 1024, 5*time.Second)
+	s.report.Running = []dispatch.RunningTask{{Task: dispatch.TaskID{Job: "5c0e7a21d94b36f9"}, Number: 3, Percent: 10}}
+	s.takeOverFrom(firstLeader, 1024)
+	s.advance(500 * time.Millisecond)
+	is.True(len(s.effects.Stops) > 0) // the run was found, and its job was not forwarded
+}
