dispatch: an outdated instance requests the configuration from one peer at a time

Cause: a peer that saw an instance's outdated version in a heartbeat sent it the whole configuration, and again every 0.3 s until a heartbeat showed the new version. Every leader did so, and every instance to a leader that was behind. Over a link that carries one such configuration in 0.4 s the queue grew faster than it drained.

Change: the instance that is behind requests the configuration, from one peer, once it has been behind for 0.3 s, and at most once a second. Nothing is sent unasked. An instance of an earlier version does not ask; while both versions run it depends on the store and on others of its version.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -69,10 +69,12 @@
 	// probeInterval is the time between probes of the workers of a zone that may have
 	// lost its leader.
 	probeInterval = 300 * time.Millisecond
-	// configurationLagLimit is the time for which a peer's configuration may be
-	// outdated before a newer one is sent to it. It is sent again after each further
-	// such time.
-	configurationLagLimit = 300 * time.Millisecond
+	// configurationLagLimit is the time for which this instance's configuration may be
+	// outdated before it requests a newer one from a peer. The store is usually faster.
+	// configurationRequestInterval is the shortest time between such requests: one
+	// configuration at a time is sent to an instance on a slow link.
+	configurationLagLimit        = 300 * time.Millisecond
+	configurationRequestInterval = time.Second
 )
 
 const (
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// receiveHeartbeat handles a peer's heartbeat. It replies if the peer asks for it,
-// and sends the configuration if the peer's is outdated.
+// receiveHeartbeat handles a peer's heartbeat. It replies if the peer asks for it, and
+// sends the configuration if the peer requests it.
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	p := i.peer(from)
 	if p.incarnation != env.Incarnation {
@@ -62,10 +62,13 @@
 	reply := i.leadership.Receive(now, from, env.Zone, env.Leaving, env.Beat)
 	i.leadership.SetTableAhead(from, len(env.Beat.Leads) > 0 && p.receivedRevision < p.tableRevision)
 	i.followTerms(now)
+	i.requestConfiguration(now, from, p)
+	if env.Beat.TablesWanted && p.version < i.version {
+		i.envelope(from).OperatorTables = i.tables
+	}
 	if reply != nil {
 		i.sendHeartbeat(from, reply)
 	}
-	i.shareConfiguration(now, from, p)
 }
 
 // requestIgnoredEntries requests the whole worker table of a peer that has come to lead a
@@ -90,16 +93,17 @@
 	return p
 }
 
-// shareConfiguration sends the configuration to a peer whose own stays outdated.
-func (i *Instance) shareConfiguration(now time.Time, to netip.AddrPort, p *peerState) {
+// requestConfiguration requests the configuration of a peer, at addr, that has a newer
+// one, if this instance's stays outdated.
+func (i *Instance) requestConfiguration(now time.Time, addr netip.AddrPort, p *peerState) {
 	switch {
-	case p.version >= i.version:
-		p.behindSince = time.Time{}
-	case p.behindSince.IsZero():
-		p.behindSince = now
-	case now.Sub(p.behindSince) >= configurationLagLimit:
-		p.behindSince = now
-		i.envelope(to).OperatorTables = i.tables
+	case p.version <= i.version:
+	case i.behindSince.IsZero():
+		i.behindSince = now
+	case now.Sub(i.behindSince) >= configurationLagLimit && now.Sub(i.tablesRequestedAt) >= configurationRequestInterval:
+		i.tablesRequestedAt = now
+		p.tablesWanted = true
+		i.effects.decide("configuration-requested", addr.String(), "version", i.version, "newer", p.version, "behind", now.Sub(i.behindSince))
 	}
 }
 
@@ -116,13 +120,14 @@
 // sendHeartbeat sends a heartbeat. A leader adds the changes of its worker table.
 func (i *Instance) sendHeartbeat(to netip.AddrPort, heartbeat *peer.Beat) {
 	heartbeat.Version = i.version
-	heartbeat.WorkersRevision = i.peer(to).receivedRevision
+	p := i.peer(to)
+	heartbeat.WorkersRevision = p.receivedRevision
+	heartbeat.TablesWanted, p.tablesWanted = p.tablesWanted, false
 	env := i.envelope(to)
 	env.Beat = heartbeat
 	if !i.leadership.Leading() {
 		return
 	}
-	p := i.peer(to)
 	for _, e := range i.table.changedSince(p.sentRevision) {
 		if len(env.Workers) >= maxWorkersPerEnvelope {
 			break
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -36,8 +36,12 @@
 	effects    Effects
 	outbox     map[netip.AddrPort]*peer.Envelope
 	// tables is the encoded configuration of the operators, and version its version.
-	tables    []byte
-	version   uint64
+	tables  []byte
+	version uint64
+	// behindSince is since when a peer is known to have a newer configuration, or zero,
+	// and tablesRequestedAt when one was last requested from a peer.
+	behindSince, tablesRequestedAt time.Time
+
 	peers     map[netip.AddrPort]*peerState
 	lastEvent time.Time
 	lastProbe time.Time
@@ -53,10 +57,9 @@
 // other.
 type peerState struct {
 	version uint64
-	// behindSince is when the peer was first seen with an outdated configuration, or
-	// zero.
-	behindSince time.Time
-	incarnation uint64
+	// tablesWanted is set if the next heartbeat to the peer requests its configuration.
+	tablesWanted bool
+	incarnation  uint64
 	// tableRevision is the newest revision of the peer's worker table.
 	tableRevision uint64
 	// receivedRevision is the revision of the peer's worker table up to which this
@@ -173,6 +176,7 @@
 	i.advance(now)
 	if version > i.version {
 		i.version, i.tables = version, tables
+		i.behindSince, i.tablesRequestedAt = time.Time{}, time.Time{}
 		i.effects.decide("configuration", "tables", "version", version, "read", SinceOrNever(now, i.tablesReadAt))
 	}
 }
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -160,6 +160,9 @@
 
 // send delivers an envelope to a peer, in order.
 func (n *simulatedInstance) send(s dispatch.Send) {
+	if len(s.Envelope.OperatorTables) > 0 {
+		n.simulation.tablesSent[s.To]++
+	}
 	to := n.simulation.instance(s.To)
 	delay, arrives := n.simulation.transit(n.name(), to.name())
 	if !arrives || to.instance == nil {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -72,8 +72,10 @@
 	lateCommands, lostAnswers float64
 	jobs                      map[string]*simulatedJob
 	nextJob                   int
-	violations                []string
-	trace                     []string
+	// tablesSent counts the configurations that were sent to each instance.
+	tablesSent map[netip.AddrPort]int
+	violations []string
+	trace      []string
 }
 
 // simulatedJob is a job as its caller knows it.
@@ -93,6 +95,7 @@
 		random:       rand.New(rand.NewPCG(seed, 1)),
 		disconnected: make(map[[2]string]bool),
 		jobs:         make(map[string]*simulatedJob),
+		tablesSent:   make(map[netip.AddrPort]int),
 	}
 	for z, zone := range simulationZones {
 		for n := range workersPerZone {
