--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -30,6 +30,7 @@
 	group.Go(func() error { s.retry(ctx, "tables", s.followTables); return nil })
 	group.Go(func() error { s.retry(ctx, "workers", s.followWorkers); return nil })
 	group.Go(func() error { s.retry(ctx, "members", s.joinMembers); return nil })
+	group.Go(func() error { s.retry(ctx, "worker-count", s.writeWorkerCounts); return nil })
 }
 
 // retry calls f until it returns nil or ctx ends. The pause between calls doubles, up
@@ -115,10 +116,9 @@
 	return nil
 }
 
-// readWorkers reads the worker table, writes the number of workers to the store if it
-// differs from expectedWorkers, and then reads changes of the table while this instance
-// leads a zone. It returns nil if records have expired before they were read, so that
-// the caller reads the whole table again.
+// readWorkers reads the worker table, and then reads changes of the table while this
+// instance leads a zone. It returns nil if records have expired before they were read, so
+// that the caller reads the whole table again.
 func (s *service) readWorkers(ctx context.Context) error {
 	records, next, err := s.store.Newest(ctx, platform.WorkerTopic)
 	if err != nil {
@@ -126,11 +126,7 @@
 	}
 	s.recordStoreAnswer("workers")
 	s.setWorkers(records)
-	if count := int64(len(records)); s.expectedWorkers.Swap(count) != count {
-		if err := s.store.AppendWorkerCount(ctx, len(records)); err != nil {
-			return err
-		}
-	}
+	s.recordWorkerCount(len(records))
 	for s.loop.leading.Load() && ctx.Err() == nil {
 		sleep(ctx, workersEvery)
 		records, from, err := s.store.ReadKeyed(ctx, platform.WorkerTopic, next, 0)
@@ -147,6 +143,57 @@
 	return nil
 }
 
+// recordWorkerCount makes writeWorkerCounts write a number of workers, in place of one
+// that is not written yet. It does not block.
+func (s *service) recordWorkerCount(workers int) {
+	for {
+		select {
+		case s.workerCounts <- workers:
+			return
+		default:
+		}
+		select {
+		case <-s.workerCounts:
+		default:
+		}
+	}
+}
+
+// writeWorkerCounts writes the number of workers to the store whenever it differs from
+// expectedWorkers. It returns the first error of the store, or nil once ctx ends. After an
+// error the number is written again.
+func (s *service) writeWorkerCounts(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case workers := <-s.workerCounts:
+			if err := s.writeWorkerCount(ctx, workers); err != nil {
+				// Unless a later number is waiting, this one is written again.
+				select {
+				case s.workerCounts <- workers:
+				default:
+				}
+				return err
+			}
+		}
+	}
+}
+
+// writeWorkerCount writes the number of workers to the store if it differs from
+// expectedWorkers.
+func (s *service) writeWorkerCount(ctx context.Context, workers int) error {
+	if s.expectedWorkers.Load() == int64(workers) {
+		return nil
+	}
+	if err := s.store.AppendWorkerCount(ctx, workers); err != nil {
+		return err
+	}
+	s.recordStoreAnswer("worker-count")
+	s.expectedWorkers.Store(int64(workers))
+	return nil
+}
+
 // setWorkers replaces the worker table of the instance.
 func (s *service) setWorkers(records []platform.Record) {
 	var workers []dispatch.Worker
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -90,8 +90,11 @@
 	// expectedWorkers is the number of workers that was last read from the store
 	// or written to it.
 	expectedWorkers atomic.Int64
-	// failedReads has a key for each kind of read ("tables", "workers" or
-	// "members") that has failed and has not succeeded since.
+	// workerCounts holds the latest number of workers that is to be written to the
+	// store, until writeWorkerCounts takes it.
+	workerCounts chan int
+	// failedReads has a key for each kind of call ("tables", "workers", "members" or
+	// "worker-count") that has failed and has not succeeded since.
 	failedReads sync.Map
 	metrics     *metrics.Set
 }
@@ -103,6 +106,8 @@
 		logger:     logger,
 		store:      platform.NewStore(node.StoreAddress.String()),
 		metrics:    metrics.NewSet(),
+
+		workerCounts: make(chan int, 1),
 	}
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -34,6 +34,8 @@
 	// LoseAnswers is how many of the next appends take effect but have their
 	// connection dropped without an answer.
 	LoseAnswers int
+	// RefuseAppends makes the store refuse appends with status 503.
+	RefuseAppends bool
 	// DropRequests is how many of the next requests, whether appends or reads, have
 	// their connection dropped and no effect. They do not reduce LoseAnswers.
 	DropRequests int
--- a/standin/store_http.go
+++ b/standin/store_http.go
@@ -167,6 +167,10 @@
 	time.Sleep(s.cfg.AppendDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.RefuseAppends {
+		http.Error(w, "appends are refused", http.StatusServiceUnavailable)
+		return
+	}
 	if !s.countAppend() {
 		http.Error(w, "too many appends", http.StatusTooManyRequests)
 		return
