--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -241,6 +242,9 @@
 		return dispatch.Worker{}, false
 	}
 	w, err := platform.DecodeWorker(r.Key, r.Value)
+	if err == nil && !slices.Contains(s.node.Zones, w.Zone) {
+		err = &platform.UnusableWorkerError{ID: r.Key, Field: "zone"}
+	}
 	if err != nil {
 		_ = s.logger.Log("event", "worker-entry-unreadable", "id", r.Key, "error", err)
 		return dispatch.Worker{}, false
