--- a/cmd/amaranthwell/odd_entries_test.go
+++ b/cmd/amaranthwell/odd_entries_test.go
@@ -60,3 +60,23 @@
 		}
 	}
 }
+
+// Guards against a caller that makes the links between instances fail with a job ID that
+// no message can carry.
+func TestServeRefusesJobIDsThatAreNotHexadecimal(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlatform(t)
+	for _, node := range p.nodes {
+		awaitReady(t, node.ReadyAddress)
+	}
+	for _, node := range p.nodes {
+		for _, id := range []string{strings.Repeat("%ff", 16), "5c0e7a21d94b36fg", "5c0e7a21d94b36f"} {
+			status, _, err := post(node, "/p/"+id, previewJob)
+			is.NoErr(err)
+			is.Equal(status, http.StatusBadRequest)
+		}
+		status, _, err := post(node, "/p/5c0e7a21d94b36f8", previewJob)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+}
