dispatch: a leader takes a later entry of a worker from any peer

The versions now tell which entry is later, so that it can be taken from any instance. Removals still count only from the zone's leader.

TestLeaderLearnsFromPeersThatAWorkerLeaves failed before (1 start, 0 expected).

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -137,15 +137,14 @@
 	}
 }
 
-// receiveWorker applies an entry of a leader's worker table, unless another instance, or
-// this one, leads the entry's zone. An instance that leads another zone, and reads the
-// table from the store, applies it only if the sender leads that of the entry.
+// receiveWorker applies an entry of a leader's worker table. If the table of another
+// instance counts for the entry's zone, it applies only an entry that is later than the
+// known one.
 func (i *Instance) receiveWorker(now time.Time, from netip.AddrPort, w *peer.Worker) {
 	p := i.peer(from)
 	p.receivedRevision = max(p.receivedRevision, w.Revision)
 	i.leadership.SetTableAhead(from, p.receivedRevision < p.tableRevision)
-	claim, led := i.leadership.Claim(now, w.Zone)
-	if (led || i.leadership.Leading()) && !(led && claim.Leader == from) {
+	if !i.tableCounts(now, from, w.Zone) && (w.Gone || !i.table.lacks(w.Id, w.Version)) {
 		p.ignore(w.Zone)
 		return
 	}
@@ -161,6 +160,17 @@
 	}
 }
 
+// tableCounts reports whether the worker table of the instance at addr decides which
+// workers of zone are listed: if it leads the zone, or if no instance does and this one,
+// which leads no other zone either, does not read the table from the store.
+func (i *Instance) tableCounts(now time.Time, addr netip.AddrPort, zone string) bool {
+	claim, fresh := i.leadership.Claim(now, zone)
+	if fresh {
+		return claim.Leader == addr
+	}
+	return !i.leadership.Leading()
+}
+
 // leads reports whether addr is the leader of zone.
 func (i *Instance) leads(now time.Time, addr netip.AddrPort, zone string) bool {
 	claim, fresh := i.leadership.Claim(now, zone)
--- a/dispatch/worker_table.go
+++ b/dispatch/worker_table.go
@@ -34,6 +34,12 @@
 	return w, true
 }
 
+// lacks reports whether version is later than that of the known entry of a worker, if any.
+func (t *table) lacks(id string, version int64) bool {
+	e := t.entries[id]
+	return version > 0 && (e == nil || version > e.worker.Version)
+}
+
 // remove removes a worker, unless an entry later than version is known. It reports
 // whether the worker was listed.
 func (t *table) remove(id string, version int64) bool {
--- a/dispatch/worker_versions_test.go
+++ b/dispatch/worker_versions_test.go
@@ -139,3 +139,26 @@
 	s.advance(500 * time.Millisecond)
 	is.True(len(s.effects.Stops) > 0) // the run was found, and its job was not forwarded
 }
+
+// Guards against tasks that a leader starts on a leaving worker although another leader has
+// sent it the entry, while the store does not answer the leader itself.
+func TestLeaderLearnsFromPeersThatAWorkerLeaves(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	s.SetWorker(s.now, versionedWorker(3, false))
+	leaving := peerEntry(8, 1)
+	leaving.Leaving = true
+	receive := func(entry *peer.Worker) {
+		s.Receive(s.now, firstLeader, &peer.Envelope{
+			Zone: "hr-north-b", Workers: []*peer.Worker{entry},
+			Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-b", Term: 1024}}, TableRevision: 2},
+		})
+		s.advance(20 * time.Millisecond)
+	}
+	receive(leaving)
+	receive(peerEntry(5, 2)) // an older one, as from a third instance
+	s.Submit(s.now, 1, s.job("5c0e7a21d94b36f8"))
+	s.advance(20 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 0)
+}
