--- a/dispatch/worker_versions_test.go
+++ b/dispatch/worker_versions_test.go
@@ -162,3 +162,47 @@
 	s.advance(20 * time.Millisecond)
 	is.Equal(len(s.effects.Starts), 0)
 }
+
+// Guards against a worker that is not used, because the leader of another zone has removed
+// it while its own zone's leader lists it.
+func TestRemovalByLeaderOfAnotherZoneKeepsTheWorker(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	send := func(from netip.AddrPort, zone string, entry *peer.Worker) {
+		s.Receive(s.now, from, &peer.Envelope{
+			Zone: zone, Workers: []*peer.Worker{entry},
+			Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: zone, Term: 1024}}, TableRevision: 1},
+		})
+	}
+	send(firstLeader, "hr-north-a", peerEntry(3, 1))
+	send(secondLeader, "hr-north-b", &peer.Worker{Id: "w-1", Zone: "hr-north-a", Gone: true, Version: 3, Revision: 1})
+	s.takeOverFrom(firstLeader, 1024)
+	s.RecordWorkersRead(s.now)
+	s.Submit(s.now, 1, s.job("5c0e7a21d94b36f8"))
+	s.advance(20 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 1)
+}
+
+// Guards against a worker that stays unknown, because its entry was ignored before the
+// sender came to lead the worker's zone.
+func TestTableOfANewLeaderIsRequestedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.heartbeat(firstLeader, 1024)
+	s.Receive(s.now, secondLeader, &peer.Envelope{
+		Zone: "hr-north-b", Workers: []*peer.Worker{peerEntry(0, 7)}, // version 0: an instance that does not know it
+		Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-b", Term: 1024}}, TableRevision: 7},
+	})
+	s.heartbeat(secondLeader, 2048) // leads zone a from now on
+	s.advance(20 * time.Millisecond)
+	s.effects = dispatch.Effects{}
+	s.heartbeat(secondLeader, 2048)
+	s.advance(20 * time.Millisecond)
+	var revisions []uint64
+	for _, send := range s.effects.Sends {
+		if send.To == secondLeader {
+			revisions = append(revisions, send.Envelope.Beat.WorkersRevision)
+		}
+	}
+	is.Equal(revisions, []uint64{0}) // the whole table
+}
