--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,10 @@
 	// N is in [firstSubnet, firstSubnet+subnets).
 	firstSubnet = 10
 	subnets     = 200
+	// configurationDeadline is the time after the last fault within which a new
+	// configuration must be in force: 3 s until an instance counts as connected again,
+	// and 2 s for the configuration, by the bounds of the platform's deployments.
+	configurationDeadline = 5 * time.Second
 )
 
 // clockRates are the rates of the workers' clocks, which are allowed to be 2 % slow.
@@ -72,9 +76,7 @@
 	}
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
-	c.store.Put(platform.OperatorTopic, platform.ConfigurationKey, []byte(`{"version":1,"routes":[{"name":"previews",
-		"host":"photos.example","path_prefix":"/p/","service":"editor","max_attempts":3,"timeout_ms":3000,
-		"stretch_factor":4,"target_latency_ms":1500}]}`))
+	c.putRoute(1, "/p/")
 	names := make(map[string]string)
 	for z := range zones {
 		names[zone(z)] = "hr-north"
@@ -99,6 +101,34 @@
 	return c
 }
 
+// putRoute writes a configuration whose only route has the given prefix.
+func (c *cluster) putRoute(version int, prefix string) {
+	c.store.Put(platform.OperatorTopic, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"previews",
+		"host":"photos.example","path_prefix":%q,"service":"editor","max_attempts":3,"timeout_ms":3000,
+		"stretch_factor":4,"target_latency_ms":1500}]}`, version, prefix))
+}
+
+// awaitRoute waits until the instance knows a route with the given prefix. It returns
+// false if ctx ends first.
+func (i *instance) awaitRoute(ctx context.Context, prefix string) bool {
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.settings.CallerAddress.String()+prefix, http.NoBody)
+		if err != nil {
+			return false
+		}
+		req.Host = "photos.example"
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
 func zone(n int) string { return "hr-north-" + string(rune('a'+n)) }
 
 func (c *cluster) addWorker(t *testing.T, id, zone string) {
@@ -307,7 +337,8 @@
 
 // TestNoTaskRunsTwiceUnderRandomFaults runs jobs while random faults overlap. It
 // checks that no task has two runs at once, that a job did not run if all its answers
-// report that it did not, and that jobs succeed once the faults are over.
+// report that it did not, and that jobs succeed once the faults are over. Then all
+// connections to the store go silent, and a new configuration must still arrive.
 func TestNoTaskRunsTwiceUnderRandomFaults(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "amaranthwell")
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/amaranthwell").CombinedOutput(); err != nil {
@@ -361,6 +392,14 @@
 	afterFaults := arrive(500 * time.Millisecond)
 	jobs.Wait()
 
+	c.store.SilenceConnections()
+	c.putRoute(2, "/r/")
+	inForce, cancelInForce := context.WithTimeout(ctx, configurationDeadline)
+	defer cancelInForce()
+	for _, i := range c.instances {
+		is.True(i.awaitRoute(inForce, "/r/")) // the configuration arrives although all connections to the store are silent
+	}
+
 	c.checker.mu.Lock()
 	defer c.checker.mu.Unlock()
 	is.Equal(c.checker.violations, nil)
