--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,22 +111,7 @@
 // awaitRoute waits until the instance knows a route with the given prefix. It returns
 // false if ctx ends first.
 func (i *instance) awaitRoute(ctx context.Context, prefix string) bool {
-	for ctx.Err() == nil {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.settings.CallerAddress.String()+prefix, http.NoBody)
-		if err != nil {
-			return false
-		}
-		req.Host = "photos.example"
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return true
-			}
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return false
+	return awaitOK(ctx, "http://"+i.settings.CallerAddress.String()+prefix)
 }
 
 func zone(n int) string { return "hr-north-" + string(rune('a'+n)) }
@@ -205,8 +190,19 @@
 
 // awaitReady waits until the instance is ready. It returns false if ctx ends first.
 func (i *instance) awaitReady(ctx context.Context) bool {
+	return awaitOK(ctx, "http://"+i.settings.ReadyAddress.String()+"/readyz")
+}
+
+// awaitOK waits until a request for url, with the host of the route, is answered with
+// status 200. It returns false if ctx ends first.
+func awaitOK(ctx context.Context, url string) bool {
 	for ctx.Err() == nil {
-		resp, err := http.Get("http://" + i.settings.ReadyAddress.String() + "/readyz")
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return false
+		}
+		req.Host = "photos.example"
+		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
