--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -26,7 +26,7 @@
 )
 
 // follow starts the goroutines that read the operators' tables, the worker table and
-// the members from the store.
+// the members from the store, and write the number of workers to it.
 func (s *service) follow(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { s.retry(ctx, "tables", s.followTables); return nil })
 	group.Go(func() error { s.retry(ctx, "workers", s.followWorkers); return nil })
@@ -36,7 +36,8 @@
 
 // retry calls f until it returns nil or ctx ends. The pause between calls doubles, up
 // to maxPause, and starts again at minPause after a call that lasted longer than
-// maxPause. readName is the name in the log of what f reads.
+// maxPause. readName is the name in the log of what f reads or, for the number of
+// workers, writes.
 func (s *service) retry(ctx context.Context, readName string, f func(context.Context) error) {
 	pause := minPause
 	for ctx.Err() == nil {
--- a/cmd/amaranthwell/worker_count_test.go
+++ b/cmd/amaranthwell/worker_count_test.go
@@ -42,8 +42,8 @@
 	}
 	await(1)
 
-	// A third worker, and expired records: the leader reads the whole table again. Then
-	// the store refuses everything for a moment.
+	// A third worker, and expired records: the leader reads the whole table again, while
+	// the store refuses appends.
 	worker := standin.NewLeasedWorker(standin.LeasedWorkerConfig{ID: "w-2", RunTime: time.Millisecond, MaxTasks: 1})
 	p.store.Put(platform.WorkerTopic, "w-2", worker.ListRecord("editor", "127.0.0.1:9", "hr-north-a"))
 	p.store.SetFaults(standin.StoreFaults{RefuseAppends: true})
