dispatch: the work of an event follows what it changed, not the number of workers

Cause: after every event a leader looked at all workers of all zones for due polls and, with jobs queued, for each waiting task. A leader of one zone of five, with 220 of 1,100 workers, spent most of its time there, and more the more events an overload brings.

Change: a poll becomes due by an event at its worker or by a tick; tasks are placed on the workers that had free resources when the round began; the runs of a job are found by its tasks; speeds and the share of excluded workers count the workers that this instance leads (before, a leader of one zone of five could exclude all of its workers).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -30,9 +30,18 @@
 	// same workers in the order of their IDs.
 	workers       map[string]*worker
 	sortedWorkers []*worker
-	jobs          map[string]*activeJob
-	queue         queue
-	ends          map[string]*keptEnd
+	// led are the workers of the zones that this instance leads, in the order of their
+	// IDs. It is nil if it has to be determined again.
+	led []*worker
+	// open are the workers on which place may start tasks.
+	open []*worker
+	// pollDue are the workers that may have to be polled before the next tick, and
+	// pollAny is set if all may.
+	pollDue []*worker
+	pollAny bool
+	jobs    map[string]*activeJob
+	queue   queue
+	ends    map[string]*keptEnd
 	// running maps a task to the worker on which it may be running, whether or not a
 	// job of this leader needs the run. A task in this map is not started.
 	running map[TaskID]*worker
@@ -89,6 +98,8 @@
 func (d *dispatcher) setTerm(now time.Time, zone string, term uint64) {
 	d.terms[zone] = term
 	d.takenOver[zone] = now
+	d.led = nil
+	d.pollAny = true
 	for _, w := range d.sortedWorkers {
 		if w.Zone == zone {
 			w.polled = false
@@ -102,6 +113,7 @@
 // dropTerm ceases to lead zone.
 func (d *dispatcher) dropTerm(now time.Time, zone string) {
 	delete(d.terms, zone)
+	d.led = nil
 	d.effects.decide("zone-leadership-ended", zone)
 	if !d.leading() {
 		d.reset()
@@ -140,6 +152,7 @@
 	d.ends = make(map[string]*keptEnd)
 	d.running = make(map[TaskID]*worker)
 	d.duplicates = make(map[TaskID][]*worker)
+	d.led, d.pollDue = nil, nil
 	for i, w := range d.sortedWorkers {
 		fresh := newWorker(w.Worker)
 		fresh.speed = w.speed
@@ -156,13 +169,19 @@
 		d.workers[entry.ID] = w
 		i, _ := slices.BinarySearchFunc(d.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		d.sortedWorkers = slices.Insert(d.sortedWorkers, i, w)
+		d.led = nil
+		d.pollDue = append(d.pollDue, w)
 		return
 	}
+	if w.Zone != entry.Zone {
+		d.led = nil
+	}
 	restarted := w.Incarnation != entry.Incarnation || w.Address != entry.Address
 	w.Worker = entry
 	w.missingSince = time.Time{}
 	if restarted {
 		w.nextPoll = now
+		d.pollDue = append(d.pollDue, w)
 	}
 }
 
@@ -196,6 +215,22 @@
 	if i := slices.Index(d.sortedWorkers, w); i >= 0 {
 		d.sortedWorkers = slices.Delete(d.sortedWorkers, i, i+1)
 	}
+	d.led = nil
+}
+
+// ledWorkers returns the workers of the zones that this instance leads, in the order of
+// their IDs. The slice is valid until the next change of the zones or of the worker table.
+func (d *dispatcher) ledWorkers() []*worker {
+	if d.led != nil {
+		return d.led
+	}
+	d.led = make([]*worker, 0, len(d.sortedWorkers))
+	for _, w := range d.sortedWorkers {
+		if _, led := d.terms[w.Zone]; led {
+			d.led = append(d.led, w)
+		}
+	}
+	return d.led
 }
 
 // allPolled reports whether this instance leads the zones of all workers and each
@@ -281,7 +316,7 @@
 			}
 		}
 	}
-	for _, w := range d.sortedWorkers {
+	for _, w := range d.ledWorkers() {
 		for _, f := range w.unclaimedEnds {
 			if f.Task.Job == j.ID && f.Result == RunSucceeded {
 				d.taskSucceeded(now, j, f.Task)
@@ -360,19 +395,31 @@
 	if j.placed == 0 {
 		return
 	}
-	for _, w := range d.sortedWorkers {
-		for _, r := range w.sortedRuns() {
-			if r.task == nil || r.task.job != j {
-				continue
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if w := d.running[t.id]; w != nil {
+				d.stopRunOf(now, w, t, keep)
 			}
-			if !keep {
-				r.task = nil
+			for _, w := range slices.Clone(d.duplicates[t.id]) {
+				d.stopRunOf(now, w, t, keep)
 			}
-			d.stop(now, w, r)
 		}
 	}
 }
 
+// stopRunOf stops the run of t on w, if t needs it. If keep is set, t waits again once the
+// run has ended.
+func (d *dispatcher) stopRunOf(now time.Time, w *worker, t *task, keep bool) {
+	r := w.runs[t.id]
+	if r == nil || r.task != t {
+		return
+	}
+	if !keep {
+		r.task = nil
+	}
+	d.stop(now, w, r)
+}
+
 // withdraw removes from as a receiver of a job, and drops a job without receivers.
 func (d *dispatcher) withdraw(now time.Time, from netip.AddrPort, id string) {
 	j := d.jobs[id]
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -89,16 +89,17 @@
 // accordingly. Speeds and run times are estimated from each other and would otherwise
 // drift together.
 func (d *dispatcher) normalizeSpeeds() {
-	if len(d.sortedWorkers) == 0 {
+	workers := d.ledWorkers()
+	if len(workers) == 0 {
 		return
 	}
-	speeds := make([]float64, 0, len(d.sortedWorkers))
-	for _, w := range d.sortedWorkers {
+	speeds := make([]float64, 0, len(workers))
+	for _, w := range workers {
 		speeds = append(speeds, w.speed)
 	}
 	slices.Sort(speeds)
 	median := speeds[len(speeds)/2]
-	for _, w := range d.sortedWorkers {
+	for _, w := range workers {
 		w.speed = min(max(w.speed/median, minSpeed), maxSpeed)
 	}
 	for _, r := range d.estimates {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -333,7 +333,7 @@
 	i.followTerms(now)
 	if i.dispatcher.leading() {
 		i.dispatcher.place(now)
-		i.dispatcher.pollAll(now)
+		i.dispatcher.issuePolls(now)
 	}
 	for _, addr := range slices.SortedFunc(maps.Keys(i.outbox), netip.AddrPort.Compare) {
 		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: i.outbox[addr]})
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -85,6 +85,11 @@
 	return Resources{r.Millicores - s.Millicores, r.Memory - s.Memory, r.Accelerators - s.Accelerators}
 }
 
+// min returns the smaller amount of r and s, for each kind of resource.
+func (r Resources) min(s Resources) Resources {
+	return Resources{min(r.Millicores, s.Millicores), min(r.Memory, s.Memory), min(r.Accelerators, s.Accelerators)}
+}
+
 // fits reports whether s fits in r, for each kind of resource.
 func (r Resources) fits(s Resources) bool {
 	return s.Millicores <= r.Millicores && s.Memory <= r.Memory && s.Accelerators <= r.Accelerators
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -23,7 +23,11 @@
 func (d *dispatcher) place(now time.Time) {
 	d.findUnreadZones(now)
 	d.queue.sort()
+	if len(d.queue.jobs) == 0 {
+		return
+	}
 	d.checkObjectives(now)
+	d.findOpenWorkers(now)
 	unplaced := 0
 	for _, j := range d.queue.jobs {
 		if !d.startable(now, j) {
@@ -38,6 +42,28 @@
 	}
 }
 
+// findOpenWorkers determines the workers on which a task of a queued job might be started
+// now: under overload these are few, however many workers there are.
+func (d *dispatcher) findOpenWorkers(now time.Time) {
+	var least Resources
+	found := false
+	for _, j := range d.queue.jobs {
+		for _, t := range j.waiting {
+			if needs := j.Steps[t.id.Step].Needs; !found {
+				least, found = needs, true
+			} else {
+				least = least.min(needs)
+			}
+		}
+	}
+	d.open = d.open[:0]
+	for _, w := range d.ledWorkers() {
+		if w.usable(now) && !d.unreadZones[w.Zone] && w.free().fits(least) {
+			d.open = append(d.open, w)
+		}
+	}
+}
+
 // findUnreadZones determines the zones in which no task may be started yet: those that
 // this instance has just come to lead with an old worker table, until it has read the
 // table or has waited too long for that.
@@ -142,8 +168,8 @@
 	expected := d.estimates.expectedRunTime(t.job.Route, step.Estimate)
 	var best *worker
 	var bestScore score
-	for _, w := range d.sortedWorkers {
-		if !w.usable(now) || d.unreadZones[w.Zone] || w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
+	for _, w := range d.open {
+		if w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
 			continue
 		}
 		runTime := w.runTime(expected)
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -33,15 +33,22 @@
 	w.pollSent = time.Time{}
 	w.nextPoll = now
 	w.immediatePoll = true
+	d.pollDue = append(d.pollDue, w)
 }
 
-// pollAll issues the polls that are due.
-func (d *dispatcher) pollAll(now time.Time) {
-	for _, w := range d.sortedWorkers {
-		if _, led := d.terms[w.Zone]; led {
+// issuePolls issues the polls that are due. A poll becomes due by an event at its worker,
+// which is then in pollDue, or by the passing of time, which ticks follow.
+func (d *dispatcher) issuePolls(now time.Time) {
+	due := d.pollDue
+	if d.pollAny {
+		due = d.ledWorkers()
+	}
+	for _, w := range due {
+		if _, led := d.terms[w.Zone]; led && d.workers[w.ID] == w {
 			d.pollIfDue(now, w)
 		}
 	}
+	d.pollDue, d.pollAny = d.pollDue[:0], false
 }
 
 func (d *dispatcher) pollIfDue(now time.Time, w *worker) {
@@ -84,6 +91,7 @@
 		d.applyReport(now, w, poll, report)
 		if latest {
 			w.nextPoll = now
+			d.pollDue = append(d.pollDue, w)
 		}
 	case Fenced:
 		d.onFenced(now, w.Zone)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -123,9 +123,9 @@
 	if w.failuresInRow < failureLimit {
 		return
 	}
-	if others := d.countSuspected(w); others >= max(1, int(maxExcludedShare*float64(len(d.sortedWorkers)))) {
+	if others := d.countSuspected(w); others >= max(1, int(maxExcludedShare*float64(len(d.ledWorkers())))) {
 		w.failuresInRow = failureLimit - 1
-		d.effects.decide("worker-not-excluded", w.ID, "why", why, "suspected", others, "workers", len(d.sortedWorkers))
+		d.effects.decide("worker-not-excluded", w.ID, "why", why, "suspected", others, "workers", len(d.ledWorkers()))
 		return
 	}
 	pause := min(refusalPause<<min(w.failuresInRow+2, 10), 2*exclusionLimit)
@@ -137,7 +137,7 @@
 // in a row.
 func (d *dispatcher) countSuspected(w *worker) int {
 	n := 0
-	for _, other := range d.sortedWorkers {
+	for _, other := range d.ledWorkers() {
 		if other != w && other.failuresInRow >= failureLimit {
 			n++
 		}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -18,6 +18,7 @@
 	d.checkJobs(now, leadership)
 	d.normalizeSpeeds()
 	d.topSpeed = d.fastSpeed(now)
+	d.pollAny = true
 	for id, kept := range d.ends {
 		if now.Sub(kept.at) > endRetention {
 			delete(d.ends, id)
@@ -74,7 +75,7 @@
 // there are none.
 func (d *dispatcher) fastSpeed(now time.Time) float64 {
 	var speeds []float64
-	for _, w := range d.sortedWorkers {
+	for _, w := range d.ledWorkers() {
 		if w.usable(now) {
 			speeds = append(speeds, w.speed)
 		}
