peer: heartbeats and queries of a large system stay in their zone

Cause: with a leader for each zone, every leader still sent its heartbeats to every instance, ten a second, and got a reply; and every instance that lost its leader queried every other each 60 ms.

Change: a leader sends its heartbeats to its zone and to the other leaders, and once a second to the instances of a zone of which it knows no live leader. An instance queries its zone and three others; its first query waits for the instances that are preferred as leaders, whose weights are in their records at the store. A new leader takes over other zones only after it has led for a second, because it has not heard their leaders before.

--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -258,7 +258,8 @@
 // joinMembers adds this instance to the members in the store and reads the other
 // members from it.
 func (s *service) joinMembers(ctx context.Context) error {
-	if err := s.store.AppendMember(ctx, platform.Member{Address: s.node.PeerAddress, Zone: s.node.Zone}); err != nil {
+	member := platform.Member{Address: s.node.PeerAddress, Zone: s.node.Zone, Millicores: s.node.Millicores}
+	if err := s.store.AppendMember(ctx, member); err != nil {
 		return err
 	}
 	records, _, err := s.store.Newest(ctx, platform.MemberTopic)
@@ -293,6 +294,8 @@
 	if err != nil {
 		return err
 	}
-	s.loop.post(func(now time.Time, i *dispatch.Instance) { i.AddMember(now, member.Address, member.Zone) })
+	s.loop.post(func(now time.Time, i *dispatch.Instance) {
+		i.AddMember(now, member.Address, member.Zone, member.Millicores)
+	})
 	return nil
 }
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -107,9 +107,9 @@
 	}
 }
 
-// broadcast sends a heartbeat to all known instances.
-func (i *Instance) broadcast(heartbeat *peer.Beat) {
-	for _, addr := range i.leadership.Members() {
+// broadcast sends a heartbeat to the instances that are to receive one now.
+func (i *Instance) broadcast(now time.Time, heartbeat *peer.Beat) {
+	for _, addr := range i.leadership.Recipients(now) {
 		i.sendHeartbeat(addr, &peer.Beat{
 			Leads: heartbeat.Leads, Hears: heartbeat.Hears, Seeking: heartbeat.Seeking, Members: heartbeat.Members,
 			Successor: heartbeat.Successor, Weight: heartbeat.Weight, TableRevision: heartbeat.TableRevision,
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -145,10 +145,14 @@
 func (i *Instance) OpenJobs() int { return len(i.receiver.open) }
 
 // AddMember adds another instance to the known members. This instance sends it
-// heartbeats from then on.
-func (i *Instance) AddMember(now time.Time, addr netip.AddrPort, zone string) {
+// heartbeats from then on. The weight is that of the other instance's Config, or 0 if it
+// is not known.
+func (i *Instance) AddMember(now time.Time, addr netip.AddrPort, zone string, weight int) {
 	i.advance(now)
 	i.leadership.AddMember(now, addr, zone)
+	if weight > 0 {
+		i.leadership.SetWeight(addr, weight)
+	}
 }
 
 // SetExpectedWorkers sets the number of workers that an earlier leader knew. It is
@@ -276,7 +280,7 @@
 	i.advance(now)
 	i.leaving = true
 	i.leadership.Leave()
-	i.broadcast(i.leadership.Heartbeat(now))
+	i.broadcast(now, i.leadership.Heartbeat(now))
 }
 
 // Close makes the instance refuse new jobs.
@@ -320,7 +324,7 @@
 	i.advance(now)
 	i.updateLeadership()
 	if heartbeat := i.leadership.Tick(now); heartbeat != nil {
-		i.broadcast(heartbeat)
+		i.broadcast(now, heartbeat)
 	}
 	i.followTerms(now)
 	i.receiver.tick(now)
--- a/dispatch/large_fleet_test.go
+++ b/dispatch/large_fleet_test.go
@@ -25,7 +25,7 @@
 		now := simulationStart
 		i := dispatch.NewInstance(now, dispatch.Config{Self: selfAddress, Zone: "hr-north-a", Zones: simulationZones, Weight: 800, Wall: now})
 		i.SetExpectedWorkers(now, test.workers)
-		i.AddMember(now, firstLeader, "hr-north-b")
+		i.AddMember(now, firstLeader, "hr-north-b", 0)
 		claimed := make(map[string]bool)
 		for end := now.Add(time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
 			i.Receive(now, firstLeader, &peer.Envelope{Zone: "hr-north-b", Beat: &peer.Beat{Reply: true}})
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -42,7 +42,7 @@
 		Wall:        n.simulation.now,
 	})
 	for _, other := range n.simulation.instances {
-		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone])
+		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone], 0)
 	}
 	n.listWorkers()
 	n.tick(n.incarnation)
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -37,7 +37,7 @@
 	for _, other := range b.Members {
 		if addr, err := netip.ParseAddrPort(other.Address); err == nil {
 			l.AddMember(now, addr, other.Zone)
-			l.setWeight(addr, int(other.Weight))
+			l.SetWeight(addr, int(other.Weight))
 		}
 	}
 	if b.Reply || (len(b.Leads) == 0 && !b.Seeking) {
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -15,8 +15,12 @@
 	// as gone.
 	LeaderTimeout = 450 * time.Millisecond
 	// queryEvery is the time between the queries of an instance that looks for
-	// a leader of its zone.
-	queryEvery = 60 * time.Millisecond
+	// a leader of its zone. The first query is delayed by queryStagger for each
+	// instance that is preferred as leader, and by at most maxQueryDelay: if all
+	// instances queried all others, the loss of one leader would flood them.
+	queryEvery    = 60 * time.Millisecond
+	queryStagger  = 60 * time.Millisecond
+	maxQueryDelay = 600 * time.Millisecond
 	// queryFor is the time for which an instance collects replies before it
 	// claims leadership, and rankDelay is added to it for each higher-ranked
 	// candidate.
@@ -37,6 +41,10 @@
 	// is taken over.
 	stableAfter     = time.Second
 	unattendedAfter = time.Second
+	// remoteHeartbeatEvery is the time between a leader's heartbeats to the
+	// instances of a zone of which it knows no live leader, if each zone has its
+	// own leader.
+	remoteHeartbeatEvery = time.Second
 	// listMembersEvery is the time between the member lists that a leader
 	// sends.
 	listMembersEvery = time.Second
@@ -113,9 +121,16 @@
 	// leader. It is zero while there is one.
 	leaderlessSince time.Time
 	queriedAt       time.Time
-	heartbeatAt     time.Time
-	leaving         bool
-	leaderPerZone   bool
+	// queries counts the queries since the start.
+	queries     int
+	heartbeatAt time.Time
+	// remoteHeartbeatAt is when the instances of zones without a known leader
+	// were last among the recipients of a heartbeat.
+	remoteHeartbeatAt time.Time
+	// leadingSince is when this instance last began to lead, or zero.
+	leadingSince  time.Time
+	leaving       bool
+	leaderPerZone bool
 	// tableRevision is the newest revision of this instance's worker table. It
 	// is 0 if the table is empty.
 	tableRevision uint64
@@ -178,8 +193,9 @@
 	l.members[addr] = &instanceInfo{zone: zone, listedAt: now}
 }
 
-// setWeight records the weight that another instance reported for addr.
-func (l *Leadership) setWeight(addr netip.AddrPort, weight int) {
+// SetWeight records the weight of the known instance at addr, as another
+// instance or the store's list reports it.
+func (l *Leadership) SetWeight(addr netip.AddrPort, weight int) {
 	if m := l.members[addr]; m != nil {
 		m.weight = weight
 	}
@@ -316,8 +332,9 @@
 		l.addMemberList(now, heartbeat)
 		return heartbeat
 	}
-	if !l.leaderlessSince.IsZero() && now.Sub(l.queriedAt) >= queryEvery {
+	if l.queryDue(now) {
 		l.queriedAt = now
+		l.queries++
 		heartbeat := l.Heartbeat(now)
 		heartbeat.Seeking = true
 		return heartbeat
--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -23,6 +23,8 @@
 	// partitioned reports whether heartbeats from a to b are lost.
 	partitioned func(a, b netip.AddrPort) bool
 	leaving     map[netip.AddrPort]bool
+	// received counts the heartbeats that each instance has received.
+	received map[netip.AddrPort]int
 }
 
 func newCluster(zones ...string) *cluster {
@@ -32,6 +34,7 @@
 		zones:       make(map[netip.AddrPort]string),
 		partitioned: func(_, _ netip.AddrPort) bool { return false },
 		leaving:     make(map[netip.AddrPort]bool),
+		received:    make(map[netip.AddrPort]int),
 	}
 	for n, zone := range zones {
 		addr := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:70", n+1))
@@ -63,10 +66,8 @@
 	if heartbeat == nil {
 		return
 	}
-	for _, to := range c.order {
-		if to != from {
-			c.deliver(from, to, heartbeat)
-		}
+	for _, to := range c.members[from].Recipients(c.now) {
+		c.deliver(from, to, heartbeat)
 	}
 }
 
@@ -74,6 +75,7 @@
 	if c.members[to] == nil || c.partitioned(from, to) {
 		return
 	}
+	c.received[to]++
 	if reply := c.members[to].Receive(c.now, from, c.zones[from], c.leaving[from], heartbeat); reply != nil {
 		c.deliver(to, from, reply)
 	}
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -250,7 +250,7 @@
 // unattended reports whether zone has had neither a leader nor a live instance
 // for unattendedAfter. It is always false shortly after the start.
 func (l *Leadership) unattended(now time.Time, zone string, c Claim) bool {
-	if now.Sub(l.start) < unattendedAfter+queryFor || (!c.LastSeen.IsZero() && now.Sub(c.LastSeen) < unattendedAfter) {
+	if now.Sub(l.start) < unattendedAfter+queryFor || now.Sub(l.leadingSince) < unattendedAfter || (!c.LastSeen.IsZero() && now.Sub(c.LastSeen) < unattendedAfter) {
 		return false
 	}
 	for _, m := range l.members {
@@ -314,7 +314,11 @@
 	wall := l.cfg.Wall.Add(now.Sub(l.start) + l.termAdvance)
 	term := max(uint64(wall.UnixMilli()), highest>>termTieBits+1) << termTieBits
 	term |= xxhash.Sum64String(l.cfg.Self.String()) & (1<<termTieBits - 1)
+	if !l.Leading() {
+		l.leadingSince = now
+	}
 	l.claims[zone] = Claim{Leader: l.cfg.Self, Term: term, LastSeen: now}
+	l.remoteHeartbeatAt = time.Time{}
 	if zone == l.cfg.Zone {
 		l.leaderlessSince = time.Time{}
 	}
