dispatch: one leader commands as many workers as its processor and its link carry

Cause: 120 workers had one leader whatever its machine: on links of 2 Mbit/s its polls timed out, and the connections opened for the retries filled the link further.

Change: the weight of an instance is the smaller of its processor capacity and of what its link can use of it; one leader commands 0.15 workers for each unit, as before on a machine of 0.8 cores. The weight stands in the instance's record at the store.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -96,7 +96,7 @@
 	instance := dispatch.NewInstance(bootTime(), dispatch.Config{
 		Self:        cfg.Node.PeerAddress,
 		Incarnation: newRandom().Uint64(),
-		Weight:      cfg.Node.Millicores,
+		Weight:      dispatch.Weight(cfg.Node.Millicores, cfg.Node.LinkBits),
 		Zone:        cfg.Node.Zone,
 		Zones:       cfg.Node.Zones,
 		Wall:        time.Now(),
--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -258,7 +258,7 @@
 // joinMembers adds this instance to the members in the store and reads the other
 // members from it.
 func (s *service) joinMembers(ctx context.Context) error {
-	member := platform.Member{Address: s.node.PeerAddress, Zone: s.node.Zone, Millicores: s.node.Millicores}
+	member := platform.Member{Address: s.node.PeerAddress, Zone: s.node.Zone, Weight: dispatch.Weight(s.node.Millicores, s.node.LinkBits)}
 	if err := s.store.AppendMember(ctx, member); err != nil {
 		return err
 	}
@@ -295,7 +295,7 @@
 		return err
 	}
 	s.loop.post(func(now time.Time, i *dispatch.Instance) {
-		i.AddMember(now, member.Address, member.Zone, member.Millicores)
+		i.AddMember(now, member.Address, member.Zone, member.Weight)
 	})
 	return nil
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -91,9 +91,6 @@
 	// runNumberSkip is the number of run numbers that are skipped when a worker
 	// refuses a start because it knows a later run of the task.
 	runNumberSkip = runNumbersPerLeader / 4
-	// maxWorkersOfOneLeader is the number of workers above which each zone has a
-	// leader of its own.
-	maxWorkersOfOneLeader = 120
 	// probesPerZone is the number of workers that are probed in a zone.
 	probesPerZone = 3
 	// maxJobs bounds the jobs of a leader, and those of a receiver.
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -16,7 +16,8 @@
 	// Zone is the availability zone of the instance, and Zones are all zones.
 	Zone  string
 	Zones []string
-	// Weight is the processor capacity of the machine, in thousandths of a core.
+	// Weight is the weight of the machine as a leader, which Weight returns, or 0 if it
+	// is not known.
 	Weight int
 	// Incarnation distinguishes this process from earlier ones at the same address.
 	Incarnation uint64
@@ -171,7 +172,7 @@
 	if workers == 0 {
 		workers = i.expectedWorkers
 	}
-	i.leadership.SetLeaderPerZone(workers > maxWorkersOfOneLeader)
+	i.leadership.SetLeaderPerZone(tooManyForOne(workers, i.leadership.HighestWeight(), i.leadership.LeaderPerZone()))
 	i.leadership.SetTableRevision(i.table.revision)
 }
 
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -74,8 +74,8 @@
 	// Zone is this instance's availability zone, and Zones are all zones.
 	Zone  string
 	Zones []string
-	// Weight is the capacity of this instance's machine in thousandths of a
-	// core. Heavier instances are preferred as leaders.
+	// Weight is the capacity of this instance's machine as a leader, in
+	// thousandths of a core. Heavier instances are preferred as leaders.
 	Weight int
 	// Wall is the wall-clock time at the start. The first term is derived from
 	// it so that it is above the terms of earlier processes.
@@ -306,6 +306,19 @@
 // because one instance could not lead all zones.
 func (l *Leadership) SetLeaderPerZone(enabled bool) { l.leaderPerZone = enabled }
 
+// LeaderPerZone reports whether each zone is to have a leader of its own.
+func (l *Leadership) LeaderPerZone() bool { return l.leaderPerZone }
+
+// HighestWeight returns the weight of the heaviest known instance, or 0 if no
+// weight is known.
+func (l *Leadership) HighestWeight() int {
+	highest := l.cfg.Weight
+	for _, m := range l.members {
+		highest = max(highest, m.weight)
+	}
+	return highest
+}
+
 // SetTableRevision sets the newest revision of this instance's worker table. An
 // instance with revision 0 knows no workers, and leads only if no other
 // instance knows any.
