--- a/dispatch/exclusion_test.go
+++ b/dispatch/exclusion_test.go
@@ -62,9 +62,25 @@
 // commands to all workers arrive late. Most workers stay in use, because they are not
 // the cause.
 func TestMostWorkersStayInUseWhenAllFail(t *testing.T) {
+	testMostWorkersStayInUse(t, 0)
+}
+
+// TestMostWorkersOfAZoneStayInUseWhenAllFail does the same in one zone of a large system,
+// whose other workers are led by others and never fail here.
+func TestMostWorkersOfAZoneStayInUseWhenAllFail(t *testing.T) {
+	testMostWorkersStayInUse(t, 200)
+}
+
+func testMostWorkersStayInUse(t *testing.T, workersOfOthers int) {
 	is := is.New(t)
 	s := newScriptedInstance()
 	s.lead()
+	for n := range workersOfOthers {
+		s.SetWorker(s.now, dispatch.Worker{
+			ID: fmt.Sprintf("other-%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(n)}), 80), Pool: "editor",
+			Zone: "hr-north-b", Capacity: dispatch.Resources{Millicores: 9000, Memory: 100},
+		})
+	}
 	const workers = 10
 	for n := 2; n <= workers; n++ {
 		s.SetWorker(s.now, dispatch.Worker{
