cmd/amaranthwell: the instances of the store's list are added at once; docs

Cause: the list was added one instance after the other. With the early read of the worker table, each instance that knew only lighter ones for a moment took itself for the first leader and read 1,100 entries; two of a zone claimed it 43 ms apart, because who knows workers is preferred.

--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -267,35 +267,34 @@
 		return err
 	}
 	s.recordStoreAnswer("members")
+	var members []platform.Member
+	workers := 0
 	for _, r := range records {
 		if r.Deleted {
 			continue
 		}
-		if err := s.applyMember(r); err != nil {
+		// A record of the topic holds either an instance or the number of workers.
+		count, isCount, err := platform.DecodeWorkerCount(r)
+		if !isCount {
+			var m platform.Member
+			if m, err = platform.DecodeMember(r); err == nil {
+				members = append(members, m)
+			}
+		}
+		if err != nil {
 			_ = s.logger.Log("event", "member-entry-unreadable", "id", r.Key, "error", err)
+			continue
 		}
+		workers = max(workers, count)
 	}
-	return nil
-}
-
-// applyMember applies a record of MemberTopic, which holds either an instance's address
-// and zone or the number of workers.
-func (s *service) applyMember(r platform.Record) error {
-	workers, ok, err := platform.DecodeWorkerCount(r)
-	if err != nil {
-		return err
-	}
-	if ok {
-		s.expectedWorkers.Store(int64(workers))
-		s.loop.post(func(now time.Time, i *dispatch.Instance) { i.SetExpectedWorkers(now, workers) })
-		return nil
-	}
-	member, err := platform.DecodeMember(r)
-	if err != nil {
-		return err
-	}
+	s.expectedWorkers.Store(int64(workers))
+	// All at once: an instance that knows only some of the others could take itself for
+	// the first leader.
 	s.loop.post(func(now time.Time, i *dispatch.Instance) {
-		i.AddMember(now, member.Address, member.Zone, member.Weight)
+		i.SetExpectedWorkers(now, workers)
+		for _, m := range members {
+			i.AddMember(now, m.Address, m.Zone, m.Weight)
+		}
 	})
 	return nil
 }
