--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -287,11 +287,15 @@
 		}
 		workers = max(workers, count)
 	}
-	s.expectedWorkers.Store(int64(workers))
+	if workers > 0 {
+		s.expectedWorkers.Store(int64(workers))
+	}
 	// All at once: an instance that knows only some of the others could take itself for
 	// the first leader.
 	s.loop.post(func(now time.Time, i *dispatch.Instance) {
-		i.SetExpectedWorkers(now, workers)
+		if workers > 0 {
+			i.SetExpectedWorkers(now, workers)
+		}
 		for _, m := range members {
 			i.AddMember(now, m.Address, m.Zone, m.Weight)
 		}
