peer, dispatch: an answer from the future confirms nothing; the needs of a round by steps

The first is a guard against a malformed reply, which could have given a leader of workers without fencing its permission for good. The second keeps an event's work independent of the number of tasks of a job.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -77,12 +77,12 @@
 	l := &dispatchLoop{
 		cfg:     cfg,
 		mailbox: newMailbox[*dispatch.Instance](),
+		callers: newWaiters[dispatch.CallerID, dispatch.End](),
 
 		readsWorkersChanged: make(chan struct{}, 1),
-		callers:             newWaiters[dispatch.CallerID, dispatch.End](),
-		jobSeconds:          make(map[dispatch.State]*metrics.Histogram),
 
-		decisions: newDecisionLog(cfg.Logger),
+		jobSeconds: make(map[dispatch.State]*metrics.Histogram),
+		decisions:  newDecisionLog(cfg.Logger),
 	}
 	l.links = newLinks(l)
 	l.commands = newWorkerCommands(cfg.Workers, cfg.Metrics, l.post, l.decisions)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -23,10 +23,10 @@
 func (d *dispatcher) place(now time.Time) {
 	d.findUnreadZones(now)
 	d.queue.sort()
+	d.checkObjectives(now)
 	if len(d.queue.jobs) == 0 {
 		return
 	}
-	d.checkObjectives(now)
 	d.findOpenWorkers(now)
 	unplaced := 0
 	for _, j := range d.queue.jobs {
@@ -43,17 +43,13 @@
 }
 
 // findOpenWorkers determines the workers on which a task of a queued job might be started
-// now: under overload these are few, however many workers there are.
+// now: under overload these are few, however many workers there are. At least one job must
+// be queued.
 func (d *dispatcher) findOpenWorkers(now time.Time) {
-	var least Resources
-	found := false
+	least := d.queue.jobs[0].Steps[0].Needs
 	for _, j := range d.queue.jobs {
-		for _, t := range j.waiting {
-			if needs := j.Steps[t.id.Step].Needs; !found {
-				least, found = needs, true
-			} else {
-				least = least.min(needs)
-			}
+		for _, step := range j.Steps {
+			least = least.min(step.Needs)
 		}
 	}
 	d.open = d.open[:0]
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -21,10 +21,8 @@
 	if b.Reply {
 		m.repliedAt = now
 	}
-	if b.EchoNanos != 0 {
-		if sent := time.Unix(0, b.EchoNanos); sent.After(m.confirmedAt) {
-			m.confirmedAt = sent
-		}
+	if sent := time.Unix(0, b.EchoNanos); b.EchoNanos != 0 && sent.After(m.confirmedAt) && !sent.After(now) {
+		m.confirmedAt = sent
 	}
 	m.knownLeaders = make(map[string]uint64, len(b.Hears))
 	for _, h := range b.Hears {
