--- a/peer/recipients.go
+++ b/peer/recipients.go
@@ -8,17 +8,18 @@
 )
 
 // witnesses is the number of instances of other zones that are queried, beside those of
-// the own zone, if each zone has its own leader.
+// the own zone, if each zone has its own leader. The first query of a process goes to as
+// many instances of its zone.
 const witnesses = 3
 
-// Recipients returns the addresses of the instances to which a heartbeat is sent at now,
-// in ascending order.
+// Recipients returns the addresses of the instances to which a heartbeat is sent at now.
 //
 // If one instance leads all zones, these are all. Otherwise the heartbeats of all leaders
 // together would load every instance with the size of the whole system. A leader then
 // sends its heartbeats to the instances of its own zone and of the zones that it leads, to
 // the other leaders and, less often, to the instances of a zone of which it knows no live
-// leader. An instance that looks for a leader queries its zone and a few others.
+// leader. An instance that looks for a leader queries its zone and a few others; while it
+// lets preferred instances look first, it queries only the heaviest of these.
 func (l *Leadership) Recipients(now time.Time) []netip.AddrPort {
 	all := l.Members()
 	if !l.leaderPerZone {
