--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -52,14 +52,14 @@
 	cfg dispatchLoopConfig
 	mailbox[*dispatch.Instance]
 	commands *workerCommands
-	// hasLeader is true if the zone of this instance has a leader, leading is true if
-	// this instance leads a zone, and readsWorkers if it has to read the worker table.
-	hasLeader, leading, readsWorkers atomic.Bool
+	// hasLeader is true if the zone of this instance has a leader, and leading
+	// is true if this instance leads a zone.
+	hasLeader, leading atomic.Bool
 	// tablesReadAt and workersReadAt are those of the instance.
 	tablesReadAt, workersReadAt atomic.Pointer[time.Time]
-	// readsWorkersChanged receives a value when readsWorkers changes, unless an
-	// earlier value is still unread.
-	readsWorkersChanged chan struct{}
+	// leadingChanged receives a value when leading changes, unless an earlier
+	// value is still unread.
+	leadingChanged chan struct{}
 
 	callers *waiters[dispatch.CallerID, dispatch.End]
 	// openJobs holds the IDs of the jobs for which callers wait.
@@ -75,14 +75,13 @@
 // newDispatchLoop returns a dispatchLoop whose control goroutine runs until ctx ends.
 func newDispatchLoop(ctx context.Context, cfg dispatchLoopConfig) *dispatchLoop {
 	l := &dispatchLoop{
-		cfg:     cfg,
-		mailbox: newMailbox[*dispatch.Instance](),
-		callers: newWaiters[dispatch.CallerID, dispatch.End](),
+		cfg:            cfg,
+		mailbox:        newMailbox[*dispatch.Instance](),
+		leadingChanged: make(chan struct{}, 1),
+		callers:        newWaiters[dispatch.CallerID, dispatch.End](),
+		jobSeconds:     make(map[dispatch.State]*metrics.Histogram),
 
-		readsWorkersChanged: make(chan struct{}, 1),
-
-		jobSeconds: make(map[dispatch.State]*metrics.Histogram),
-		decisions:  newDecisionLog(cfg.Logger),
+		decisions: newDecisionLog(cfg.Logger),
 	}
 	l.links = newLinks(l)
 	l.commands = newWorkerCommands(cfg.Workers, cfg.Metrics, l.post, l.decisions)
@@ -151,18 +150,17 @@
 }
 
 // publishState updates what other goroutines read of the instance, and signals a change
-// of readsWorkers.
+// of leading.
 func (l *dispatchLoop) publishState(now time.Time, i *dispatch.Instance) {
 	storeTime(&l.tablesReadAt, i.TablesReadAt())
 	storeTime(&l.workersReadAt, i.WorkersReadAt())
 	l.hasLeader.Store(i.HasLeader(now))
-	l.leading.Store(i.Leading())
-	if i.ReadsWorkers() == l.readsWorkers.Load() {
+	if i.Leading() == l.leading.Load() {
 		return
 	}
-	l.readsWorkers.Store(i.ReadsWorkers())
+	l.leading.Store(i.Leading())
 	select {
-	case l.readsWorkersChanged <- struct{}{}:
+	case l.leadingChanged <- struct{}{}:
 	default:
 	}
 }
@@ -246,10 +244,7 @@
 	if err != nil {
 		return
 	}
-	l.post(func(now time.Time, i *dispatch.Instance) {
-		i.Receive(now, addr, env)
-		l.links.get(addr).Redial()
-	})
+	l.post(func(now time.Time, i *dispatch.Instance) { i.Receive(now, addr, env) })
 }
 
 // LinkReset reports to the instance that envelopes to the peer at addr may have been
--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -100,14 +100,14 @@
 	}
 }
 
-// followWorkers reads the worker table whenever this instance leads a zone or is about
-// to. It returns the first error of the store, or nil once ctx ends.
+// followWorkers reads the worker table whenever this instance leads a zone. It
+// returns the first error of the store, or nil once ctx ends.
 func (s *service) followWorkers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !s.loop.readsWorkers.Load() {
+		if !s.loop.leading.Load() {
 			select {
 			case <-ctx.Done():
-			case <-s.loop.readsWorkersChanged:
+			case <-s.loop.leadingChanged:
 			}
 			continue
 		}
@@ -118,8 +118,8 @@
 	return nil
 }
 
-// readWorkers reads the worker table, and then reads changes of the table for as long as
-// this instance has to. It returns nil if records have expired before they were read, so
+// readWorkers reads the worker table, and then reads changes of the table while this
+// instance leads a zone. It returns nil if records have expired before they were read, so
 // that the caller reads the whole table again.
 func (s *service) readWorkers(ctx context.Context) error {
 	records, next, err := s.store.Newest(ctx, platform.WorkerTopic)
@@ -129,7 +129,7 @@
 	s.recordStoreAnswer("workers")
 	s.setWorkers(records)
 	s.recordWorkerCount(len(records))
-	for s.loop.readsWorkers.Load() && ctx.Err() == nil {
+	for s.loop.leading.Load() && ctx.Err() == nil {
 		sleep(ctx, workersEvery)
 		records, from, err := s.store.ReadKeyed(ctx, platform.WorkerTopic, next, 0)
 		var expired *platform.ExpiredError
@@ -267,38 +267,35 @@
 		return err
 	}
 	s.recordStoreAnswer("members")
-	var members []platform.Member
-	workers := 0
 	for _, r := range records {
 		if r.Deleted {
 			continue
 		}
-		// A record of the topic holds either an instance or the number of workers.
-		count, isCount, err := platform.DecodeWorkerCount(r)
-		if !isCount {
-			var m platform.Member
-			if m, err = platform.DecodeMember(r); err == nil {
-				members = append(members, m)
-			}
-		}
-		if err != nil {
+		if err := s.applyMember(r); err != nil {
 			_ = s.logger.Log("event", "member-entry-unreadable", "id", r.Key, "error", err)
-			continue
 		}
-		workers = max(workers, count)
 	}
-	if workers > 0 {
+	return nil
+}
+
+// applyMember applies a record of MemberTopic, which holds either an instance's address
+// and zone or the number of workers.
+func (s *service) applyMember(r platform.Record) error {
+	workers, ok, err := platform.DecodeWorkerCount(r)
+	if err != nil {
+		return err
+	}
+	if ok {
 		s.expectedWorkers.Store(int64(workers))
+		s.loop.post(func(now time.Time, i *dispatch.Instance) { i.SetExpectedWorkers(now, workers) })
+		return nil
+	}
+	member, err := platform.DecodeMember(r)
+	if err != nil {
+		return err
 	}
-	// All at once: an instance that knows only some of the others could take itself for
-	// the first leader.
 	s.loop.post(func(now time.Time, i *dispatch.Instance) {
-		if workers > 0 {
-			i.SetExpectedWorkers(now, workers)
-		}
-		for _, m := range members {
-			i.AddMember(now, m.Address, m.Zone, m.Weight)
-		}
+		i.AddMember(now, member.Address, member.Zone, member.Weight)
 	})
 	return nil
 }
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -7,9 +7,8 @@
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
-// maxWorkersPerEnvelope bounds the entries of the worker table in one envelope, so that
-// an instance that has just started has time for its callers.
-const maxWorkersPerEnvelope = 50
+// maxWorkersPerEnvelope bounds the entries of the worker table in one envelope.
+const maxWorkersPerEnvelope = 200
 
 // Receive handles an envelope from a peer.
 func (i *Instance) Receive(now time.Time, from netip.AddrPort, env *peer.Envelope) {
@@ -60,9 +59,6 @@
 		p.sentRevision = env.Beat.WorkersRevision
 	}
 	p.tableRevision = env.Beat.TableRevision
-	if len(env.Beat.Leads) > 0 && env.Beat.Workers > 0 {
-		i.expectedWorkers = int(env.Beat.Workers)
-	}
 	reply := i.leadership.Receive(now, from, env.Zone, env.Leaving, env.Beat)
 	i.leadership.SetTableAhead(from, len(env.Beat.Leads) > 0 && p.receivedRevision < p.tableRevision)
 	i.followTerms(now)
@@ -132,10 +128,7 @@
 	if !i.leadership.Leading() {
 		return
 	}
-	zones := i.sharedZones()
-	heartbeat.TableRevision = i.table.newestOf(zones)
-	heartbeat.Workers = uint32(i.countWorkers())
-	for _, e := range i.table.changedSince(p.sentRevision, zones) {
+	for _, e := range i.table.changedSince(p.sentRevision) {
 		if len(env.Workers) >= maxWorkersPerEnvelope {
 			break
 		}
@@ -144,22 +137,6 @@
 	}
 }
 
-// sharedZones returns the zones of which this instance, a leader, sends the entries of its
-// worker table to others: the zones that it leads if each zone has its own leader, and
-// otherwise all.
-func (i *Instance) sharedZones() []string {
-	if !i.leadership.LeaderPerZone() {
-		return i.cfg.Zones
-	}
-	var led []string
-	for _, zone := range i.cfg.Zones {
-		if _, leads := i.leadership.Leads(zone); leads {
-			led = append(led, zone)
-		}
-	}
-	return led
-}
-
 // receiveWorker applies an entry of a leader's worker table. If the table of another
 // instance counts for the entry's zone, it applies only an entry that is later than the
 // known one.
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -49,7 +49,7 @@
 	lastEvent time.Time
 	lastProbe time.Time
 	leaving   bool
-	// expectedWorkers is the number of workers that a leader knew.
+	// expectedWorkers is the number of workers that an earlier leader knew.
 	expectedWorkers int
 	// tablesReadAt and workersReadAt are when the store last answered a read of the
 	// operators' configuration and of the worker table, or zero.
@@ -175,18 +175,12 @@
 // whether there are too many workers for one leader, and the revision of the worker
 // table.
 func (i *Instance) updateLeadership() {
-	i.leadership.SetLeaderPerZone(tooManyForOne(i.countWorkers(), i.leadership.HighestWeight(), i.leadership.LeaderPerZone()))
-	i.leadership.SetTableRevision(i.table.revision)
-}
-
-// countWorkers returns the number of workers of all zones: a leader reads it from the
-// store, and others learn it from a leader.
-func (i *Instance) countWorkers() int {
-	known := len(i.dispatcher.sortedWorkers)
-	if i.leadership.Leading() && !i.workersReadAt.IsZero() {
-		return known
+	workers := len(i.dispatcher.sortedWorkers)
+	if workers == 0 {
+		workers = i.expectedWorkers
 	}
-	return max(known, i.expectedWorkers)
+	i.leadership.SetLeaderPerZone(tooManyForOne(workers, i.leadership.HighestWeight(), i.leadership.LeaderPerZone()))
+	i.leadership.SetTableRevision(i.table.revision)
 }
 
 // SetTables sets the operators' configuration, unless the known one is as new.
@@ -278,15 +272,10 @@
 	i.dispatcher.markWorkerMissing(now, id)
 }
 
-// Leading reports whether this instance leads an availability zone.
+// Leading reports whether this instance leads an availability zone, and therefore has
+// to read the worker table.
 func (i *Instance) Leading() bool { return i.leadership.Leading() }
 
-// ReadsWorkers reports whether this instance has to read the worker table from the store,
-// because it leads a zone or is about to.
-func (i *Instance) ReadsWorkers() bool {
-	return i.leadership.Leading() || i.leadership.Prospective()
-}
-
 // HasLeader reports whether this instance's zone has a known leader from which a
 // heartbeat was received recently.
 func (i *Instance) HasLeader(now time.Time) bool {
@@ -381,7 +370,6 @@
 	}
 	for _, zone := range i.cfg.Zones {
 		if term, leads := i.leadership.Leads(zone); leads && i.dispatcher.terms[zone] != term {
-			i.table.renew(zone)
 			i.dispatcher.setTerm(now, zone, term)
 		}
 	}
--- a/dispatch/worker_table.go
+++ b/dispatch/worker_table.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-)
+import "slices"
 
 // table is the worker table. It keeps the revision of the last change of each entry,
 // so that a peer is sent only the entries that it lacks. Entries of one worker arrive from
@@ -12,8 +8,6 @@
 type table struct {
 	entries  map[string]*tableEntry
 	revision uint64
-	// newest is the newest revision of the entries of each zone.
-	newest map[string]uint64
 }
 
 type tableEntry struct {
@@ -22,16 +16,7 @@
 	revision uint64
 }
 
-func newTable() *table {
-	return &table{entries: make(map[string]*tableEntry), newest: make(map[string]uint64)}
-}
-
-// advance gives an entry a new revision.
-func (t *table) advance(e *tableEntry) {
-	t.revision++
-	e.revision = t.revision
-	t.newest[e.worker.Zone] = t.revision
-}
+func newTable() *table { return &table{entries: make(map[string]*tableEntry)} }
 
 // set lists w. It returns the latest known entry of the worker, which is not w if a later
 // one is known, and whether the table has changed.
@@ -44,9 +29,8 @@
 		e.worker.Version = w.Version
 		return w, false
 	}
-	e = &tableEntry{worker: w}
-	t.entries[w.ID] = e
-	t.advance(e)
+	t.revision++
+	t.entries[w.ID] = &tableEntry{worker: w, revision: t.revision}
 	return w, true
 }
 
@@ -63,8 +47,8 @@
 	if e == nil || e.gone || version < e.worker.Version {
 		return false
 	}
-	e.gone = true
-	t.advance(e)
+	t.revision++
+	e.gone, e.revision = true, t.revision
 	return true
 }
 
@@ -80,35 +64,17 @@
 	return ids
 }
 
-// newestOf returns the newest revision of the entries of zones.
-func (t *table) newestOf(zones []string) uint64 {
-	var newest uint64
-	for _, zone := range zones {
-		newest = max(newest, t.newest[zone])
-	}
-	return newest
-}
-
-// renew gives the entries of zone new revisions, so that they are sent to all peers.
-func (t *table) renew(zone string) {
-	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		if e := t.entries[id]; e.worker.Zone == zone {
-			t.advance(e)
-		}
-	}
-}
-
-// changedSince returns the entries of zones that changed after revision, the oldest first.
-func (t *table) changedSince(revision uint64, zones []string) []*tableEntry {
+// changedSince returns the entries that changed after revision, the oldest first.
+func (t *table) changedSince(revision uint64) []*tableEntry {
 	var changed []*tableEntry
-	if revision >= t.newestOf(zones) {
+	if revision >= t.revision {
 		return nil
 	}
 	for _, e := range t.entries {
-		if e.revision > revision && slices.Contains(zones, e.worker.Zone) {
+		if e.revision > revision {
 			changed = append(changed, e)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *tableEntry) int { return cmp.Compare(a.revision, b.revision) })
+	slices.SortFunc(changed, func(a, b *tableEntry) int { return int(a.revision) - int(b.revision) })
 	return changed
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +19,6 @@
 	sendTimeout  = 5 * time.Second
 	redialAfter  = 200 * time.Millisecond
 	linkCapacity = 1024
-	// hungDial is the age of an attempt to connect from which on Redial abandons it.
-	hungDial = 50 * time.Millisecond
 )
 
 // dialer limits the time for which a link waits for a peer that does not
@@ -70,15 +67,6 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	dropped atomic.Uint64
-	// redial receives a value when the link is to connect at once.
-	redial chan struct{}
-	// dialMutex guards the fields after it: cancelDial cancels the present attempt to
-	// connect, which began at dialStart, and is nil if there is none. connected is set
-	// while there is a connection.
-	dialMutex  sync.Mutex
-	dialStart  time.Time
-	cancelDial context.CancelFunc
-	connected  bool
 	// lossPending is set if envelopes may have been lost since the last call of
 	// Receiver.LinkReset.
 	lossPending atomic.Bool
@@ -94,14 +82,13 @@
 		queue:   make(chan *Envelope, linkCapacity),
 		cancel:  cancel,
 		done:    make(chan struct{}),
-		redial:  make(chan struct{}, 1),
 	}
 	go func() {
 		defer close(l.done)
 		for ctx.Err() == nil {
 			l.sendOverStream(ctx, receiver)
 			l.discard()
-			l.pauseBeforeDial(ctx)
+			pause(ctx, redialAfter)
 		}
 	}()
 	return l
@@ -119,51 +106,6 @@
 	}
 }
 
-// Redial makes a link without a connection connect at once, because the peer was
-// heard from. An attempt that was made while the peer was down could hang until its
-// time-out.
-func (l *Link) Redial() {
-	l.dialMutex.Lock()
-	defer l.dialMutex.Unlock()
-	switch {
-	case l.connected:
-		return
-	case l.cancelDial != nil && time.Since(l.dialStart) < hungDial:
-		return
-	case l.cancelDial != nil:
-		l.cancelDial()
-	}
-	select {
-	case l.redial <- struct{}{}:
-	default:
-	}
-}
-
-// pauseBeforeDial waits for redialAfter, until Redial is called, or until ctx ends.
-func (l *Link) pauseBeforeDial(ctx context.Context) {
-	timer := time.NewTimer(redialAfter)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-l.redial:
-	}
-}
-
-// dial connects to the peer. It fails early if Redial finds that the attempt hangs.
-func (l *Link) dial(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	l.dialMutex.Lock()
-	l.dialStart, l.cancelDial = time.Now(), cancel
-	l.dialMutex.Unlock()
-	raw, err := dialer.Dial(ctx, "tcp", l.address.String())
-	l.dialMutex.Lock()
-	l.cancelDial, l.connected = nil, err == nil
-	l.dialMutex.Unlock()
-	return raw, err
-}
-
 // Dropped returns the number of envelopes that were dropped because the queue
 // was full or the stream was down.
 func (l *Link) Dropped() uint64 { return l.dropped.Load() }
@@ -195,17 +137,12 @@
 // sendOverStream opens a stream and sends envelopes over it until it breaks or
 // ctx ends.
 func (l *Link) sendOverStream(ctx context.Context, receiver Receiver) {
-	raw, err := l.dial(ctx)
+	raw, err := dialer.Dial(ctx, "tcp", l.address.String())
 	if err != nil {
 		return
 	}
 	conn := drpcconn.New(raw)
-	defer func() {
-		_ = conn.Close()
-		l.dialMutex.Lock()
-		l.connected = false
-		l.dialMutex.Unlock()
-	}()
+	defer func() { _ = conn.Close() }()
 	stream, err := NewDRPCLinkClient(conn).Deliver(ctx)
 	if err != nil {
 		return
