--- /dev/null
+++ b/dispatch/active_jobs.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// addJob adds a job that the instance from has forwarded, or reports its end if that
+// is known.
+func (d *dispatcher) addJob(now time.Time, from netip.AddrPort, job Job) {
+	if _, led := d.terms[d.zoneOf(from)]; !led {
+		d.effects.decide("job-rejected", job.ID, "from", from, "zone", d.zoneOf(from))
+		return
+	}
+	if kept := d.ends[job.ID]; kept != nil {
+		kept.receivers = append(kept.receivers, from)
+		d.reportEnd(now, from, kept.end)
+		return
+	}
+	j := d.jobs[job.ID]
+	if j == nil {
+		if len(d.jobs) >= maxJobs {
+			d.reportEnd(now, from, job.notServed("too-many-jobs"))
+			return
+		}
+		j = d.activate(now, job)
+	}
+	j.receivers[from] = struct{}{}
+	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
+	j.forwardedAgain(job)
+	if !j.suspendedAt.IsZero() {
+		j.suspendedAt, j.forwardRequestedAt = time.Time{}, time.Time{}
+		d.effects.decide("job-resumed", j.ID, "receiver", from)
+	}
+	if len(j.waiting) > 0 {
+		d.queue.add(j)
+	}
+}
+
+// later returns the later of a and b.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// activate adds job as an active job.
+func (d *dispatcher) activate(now time.Time, job Job) *activeJob {
+	j := newActiveJob(job)
+	d.jobs[job.ID] = j
+	var longest, nominal time.Duration
+	for _, step := range job.Steps {
+		expected := d.estimates.expectedRunTime(job.Route, step.Estimate)
+		longest += expected
+		nominal += d.estimates.nominalRunTime(job.Route, expected)
+		cores := float64(step.Needs.Millicores) / 1000
+		j.work += expected.Seconds() * cores * float64(step.Tasks)
+		if d.typicalMillicores == 0 {
+			d.typicalMillicores = float64(step.Needs.Millicores)
+		}
+		d.typicalMillicores += estimateWeight * (float64(step.Needs.Millicores) - d.typicalMillicores)
+	}
+	j.chainTime = longest
+	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
+	d.adoptRuns(now, j)
+	return j
+}
+
+// adoptRuns adopts the runs and the ends of j's tasks that an earlier leader has
+// started.
+func (d *dispatcher) adoptRuns(now time.Time, j *activeJob) {
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if w := d.running[t.id]; w != nil {
+				d.adopt(w, t)
+			}
+		}
+	}
+	for _, w := range d.ledWorkers() {
+		for _, f := range w.unclaimedEnds {
+			if f.Task.Job == j.ID && f.Result == RunSucceeded {
+				d.taskSucceeded(now, j, f.Task)
+			}
+		}
+	}
+}
+
+// adopt assigns the run of t on w to t, unless the run is being stopped or t has
+// another run.
+func (d *dispatcher) adopt(w *worker, t *task) {
+	r := w.runs[t.id]
+	if r == nil {
+		return
+	}
+	t.number = max(t.number, r.number)
+	if r.state == runStopping {
+		return
+	}
+	if t.state != taskWaiting || r.task != nil {
+		return
+	}
+	w.adopt(r, t)
+	t.job.markPlaced(t)
+	d.effects.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
+}
+
+// taskSucceeded records the end of a task, and ends its job if it was the last one.
+func (d *dispatcher) taskSucceeded(now time.Time, j *activeJob, id TaskID) {
+	if id.Step >= len(j.steps) || id.Index >= len(j.steps[id.Step]) {
+		return
+	}
+	if j.finish(j.steps[id.Step][id.Index]) {
+		d.endJob(now, j, End{ID: j.ID, State: Completed})
+		return
+	}
+	if len(j.waiting) > 0 {
+		d.queue.add(j)
+	}
+}
+
+// endJob ends a job: it reports the end to the receivers of the job, and stops its
+// runs.
+func (d *dispatcher) endJob(now time.Time, j *activeJob, end End) {
+	if d.jobs[j.ID] != j {
+		return
+	}
+	d.dropJob(now, j)
+	kept := &keptEnd{end: end, at: now}
+	for addr := range j.receivers {
+		kept.receivers = append(kept.receivers, addr)
+	}
+	slices.SortFunc(kept.receivers, netip.AddrPort.Compare)
+	d.ends[j.ID] = kept
+	for _, addr := range kept.receivers {
+		d.reportEnd(now, addr, end)
+	}
+	if end.State == Completed {
+		// The receiver logs the answer to the caller.
+		return
+	}
+	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
+		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed)
+}
+
+// dropJob removes a job and stops its runs.
+func (d *dispatcher) dropJob(now time.Time, j *activeJob) {
+	delete(d.jobs, j.ID)
+	j.queued = false
+	d.stopRuns(now, j, false)
+}
+
+// stopRuns stops the runs of j. If keep is set, their tasks wait again once the runs
+// have ended.
+func (d *dispatcher) stopRuns(now time.Time, j *activeJob, keep bool) {
+	if j.placed == 0 {
+		return
+	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if w := d.running[t.id]; w != nil {
+				d.stopRunOf(now, w, t, keep)
+			}
+			for _, w := range slices.Clone(d.duplicates[t.id]) {
+				d.stopRunOf(now, w, t, keep)
+			}
+		}
+	}
+}
+
+// stopRunOf stops the run of t on w, if t needs it. If keep is set, t waits again once the
+// run has ended.
+func (d *dispatcher) stopRunOf(now time.Time, w *worker, t *task, keep bool) {
+	r := w.runs[t.id]
+	if r == nil || r.task != t {
+		return
+	}
+	if !keep {
+		r.task = nil
+	}
+	d.stop(now, w, r)
+}
+
+// withdraw removes from as a receiver of a job, and drops a job without receivers.
+func (d *dispatcher) withdraw(now time.Time, from netip.AddrPort, id string) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(j.receivers, from)
+	if len(j.receivers) == 0 {
+		d.effects.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
+		d.dropJob(now, j)
+	}
+}
+
+// resendEnds reports to a receiver again how its jobs have ended.
+func (d *dispatcher) resendEnds(now time.Time, to netip.AddrPort) {
+	for _, id := range slices.Sorted(maps.Keys(d.ends)) {
+		kept := d.ends[id]
+		if slices.Contains(kept.receivers, to) {
+			d.reportEnd(now, to, kept.end)
+		}
+	}
+}
--- a/dispatch/weight.go
+++ b/dispatch/weight.go
@@ -2,8 +2,7 @@
 
 const (
 	// linkBitsPerMillicore is the rate in bits per second that a leader needs on its link
-	// for each thousandth of a core: a task takes about 17 kbit of commands, polls and
-	// answers, and a third of a millisecond of processor time.
+	// to use a thousandth of a core: commands, polls and answers of tasks need both.
 	linkBitsPerMillicore = 50_000
 	// workersPerMillicore is the number of workers that a leader can command for each
 	// unit of its weight.
