--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -169,6 +169,18 @@
 	time.AfterFunc(after, func() { close(w.leaving) })
 }
 
+// silent returns the worker that last left a command of a job unanswered.
+func (d *deployment) silent(job string) *worker {
+	for _, zone := range d.cfg.zones {
+		for _, w := range d.workersOf(zone) {
+			if task, ok := w.lateTask.Load().(string); ok && jobOf(task) == job {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
 // workersOf returns the workers of a zone.
 func (d *deployment) workersOf(zone string) []*worker {
 	d.mu.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -36,10 +36,10 @@
 
 var cases = map[string]testCase{
 	"receiver-restart": receiverRestart,
-	"cancel-elsewhere": cancelElsewhere,
 	"late-stop":        lateStop,
 	"release":          release,
 	"reset":            resetConnections,
+	"reborn":           reborn,
 }
 
 func main() { os.Exit(run()) }
