dispatch: end the jobs of a receiver's process when another one replaces it

Cause: a leader knew the receivers of a job by their addresses only. The heartbeats of the new process counted as those of the old one, so that the leader never noticed the silence on which it stops a job's runs. The new incarnation was noticed, but only the exchange of the worker table began again.

Change: the first envelope of a new process at an address withdraws all jobs that the former process forwarded, which stops their runs at once. Envelopes of the latest former processes are ignored: they may be read from the old stream after the new one has begun.

--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// withdrawAll removes from as a receiver of all jobs, because its process has ended.
+func (d *dispatcher) withdrawAll(now time.Time, from netip.AddrPort) {
+	for _, id := range d.jobIDs() {
+		if _, waits := d.jobs[id].receivers[from]; waits {
+			d.withdraw(now, from, id)
+		}
+	}
+}
+
 // resendEnds reports to a receiver again how its jobs have ended.
 func (d *dispatcher) resendEnds(now time.Time, to netip.AddrPort) {
 	for _, id := range slices.Sorted(maps.Keys(d.ends)) {
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/peer"
@@ -10,9 +11,15 @@
 // maxWorkersPerEnvelope bounds the entries of the worker table in one envelope.
 const maxWorkersPerEnvelope = 200
 
+// maxEndedIncarnations bounds the former processes that are remembered for each peer.
+const maxEndedIncarnations = 8
+
 // Receive handles an envelope from a peer.
 func (i *Instance) Receive(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	i.advance(now)
+	if !i.followProcess(now, from, env.Incarnation) {
+		return
+	}
 	if env.Beat != nil {
 		i.receiveHeartbeat(now, from, env)
 	}
@@ -47,13 +54,35 @@
 	}
 }
 
+// followProcess records which process runs at the address of a peer, and reports whether
+// an envelope of the given incarnation is to be handled. When a new process appears, nobody
+// waits any more for the jobs that the former one forwarded. An envelope of a former process
+// may arrive later than that.
+func (i *Instance) followProcess(now time.Time, addr netip.AddrPort, incarnation uint64) bool {
+	p := i.peer(addr)
+	if p.incarnation == incarnation {
+		return true
+	}
+	if slices.Contains(p.endedIncarnations, incarnation) {
+		return false
+	}
+	ended := p.endedIncarnations
+	if p.incarnation != 0 {
+		ended = append(ended, p.incarnation)
+		if len(ended) > maxEndedIncarnations {
+			ended = ended[1:]
+		}
+		i.effects.decide("peer-restarted", addr.String(), "zone", i.leadership.Zone(addr))
+		i.dispatcher.withdrawAll(now, addr)
+	}
+	*p = peerState{incarnation: incarnation, endedIncarnations: ended}
+	return true
+}
+
 // receiveHeartbeat handles a peer's heartbeat. It replies if the peer asks for it, and
 // sends the configuration if the peer requests it.
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	p := i.peer(from)
-	if p.incarnation != env.Incarnation {
-		*p = peerState{incarnation: env.Incarnation}
-	}
 	p.version = env.Beat.Version
 	if env.Beat.WorkersRevision < p.sentRevision || env.Beat.Reply {
 		p.sentRevision = env.Beat.WorkersRevision
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -62,7 +62,10 @@
 	version uint64
 	// tablesWanted is set if the next heartbeat to the peer requests its configuration.
 	tablesWanted bool
-	incarnation  uint64
+	// incarnation is that of the peer's process, or 0 if none is known, and
+	// endedIncarnations are those of its latest former processes.
+	incarnation       uint64
+	endedIncarnations []uint64
 	// tableRevision is the newest revision of the peer's worker table.
 	tableRevision uint64
 	// receivedRevision is the revision of the peer's worker table up to which this
