dispatch: repeat the withdrawal of a job until its leader acknowledges it

Cause: a receiver sent the withdrawal of a job once and forgot the job. A link drops what is queued when its stream breaks, so the message was lost; the leader continued the job as long as the receiver sent heartbeats. The same on related paths: a job that was to be forwarded again when its caller left was not withdrawn at all; nor was a job from a leader whose claim was forgotten before another one appeared; a suspended job that its receiver did not know any more was kept for good; and a leader relied on the receiver for the deadline of a job's callers.

Change: withdrawals have numbers. All that are not acknowledged are part of each heartbeat to the leader until a heartbeat of the leader returns the number of the last one. A heartbeat of a receiver therefore means that it waits for all its jobs but those that it names. A job remembers all instances to which it was forwarded, and is withdrawn from each. The leader ends a job at the deadline of its callers by itself.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -38,6 +38,8 @@
 			i.dispatcher.withdraw(now, from, id)
 		}
 	}
+	p := i.peer(from)
+	p.withdrawnReceived = max(p.withdrawnReceived, env.WithdrawnThrough)
 	for _, e := range env.JobEnds {
 		i.receiver.jobEnded(now, from, decodeEnd(e))
 	}
@@ -66,16 +68,19 @@
 	if slices.Contains(p.endedIncarnations, incarnation) {
 		return false
 	}
-	ended := p.endedIncarnations
-	if p.incarnation != 0 {
-		ended = append(ended, p.incarnation)
+	former, ended := *p, p.endedIncarnations
+	*p = peerState{incarnation: incarnation}
+	if former.incarnation == 0 {
+		p.withdrawals = former.withdrawals
+	} else {
+		ended = append(ended, former.incarnation)
 		if len(ended) > maxEndedIncarnations {
 			ended = ended[1:]
 		}
 		i.effects.decide("peer-restarted", addr.String(), "zone", i.leadership.Zone(addr))
 		i.dispatcher.withdrawAll(now, addr)
 	}
-	*p = peerState{incarnation: incarnation, endedIncarnations: ended}
+	p.endedIncarnations = ended
 	return true
 }
 
@@ -84,6 +89,7 @@
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	p := i.peer(from)
 	p.version = env.Beat.Version
+	p.withdrawals.acknowledge(env.Beat.WithdrawnReceived)
 	if env.Beat.WorkersRevision < p.sentRevision || env.Beat.Reply {
 		p.sentRevision = env.Beat.WorkersRevision
 	}
@@ -151,6 +157,7 @@
 	heartbeat.Version = i.version
 	p := i.peer(to)
 	heartbeat.WorkersRevision = p.receivedRevision
+	heartbeat.WithdrawnReceived = p.withdrawnReceived
 	heartbeat.TablesWanted, p.tablesWanted = p.tablesWanted, false
 	env := i.envelope(to)
 	env.Beat = heartbeat
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -77,6 +77,10 @@
 	// sentRevision is the revision of this instance's worker table up to which it was
 	// sent to the peer.
 	sentRevision uint64
+	// withdrawals are this instance's withdrawals of jobs from the peer, and
+	// withdrawnReceived is the number of the peer's last withdrawal that arrived here.
+	withdrawals       withdrawals
+	withdrawnReceived uint64
 }
 
 // ignore records that an entry of the peer's worker table, of a worker in zone, was
@@ -101,7 +105,7 @@
 		peers:      make(map[netip.AddrPort]*peerState),
 		lastEvent:  now,
 	}
-	i.receiver = newReceiver(i)
+	i.receiver = newReceiver(now, i)
 	i.dispatcher.effects = &i.effects
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
@@ -351,6 +355,7 @@
 		i.dispatcher.issuePolls(now)
 	}
 	for _, addr := range slices.SortedFunc(maps.Keys(i.outbox), netip.AddrPort.Compare) {
+		i.peer(addr).withdrawals.addTo(now, i.outbox[addr])
 		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: i.outbox[addr]})
 	}
 	clear(i.outbox)
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -24,6 +24,9 @@
 	leaderlessSince time.Time
 	// closed is set if new jobs are refused.
 	closed bool
+	// withdrawn is the number of the latest withdrawal. The numbers of a process begin
+	// after those of earlier processes on its machine.
+	withdrawn uint64
 }
 
 // openJob is a job that has not ended.
@@ -34,13 +37,17 @@
 	forwarded bool
 	// everForwarded is set if the job was forwarded to any leader.
 	everForwarded bool
+	// leaders are the instances to which the job was forwarded and from which it was not
+	// withdrawn.
+	leaders []netip.AddrPort
 }
 
-func newReceiver(i *Instance) *receiver {
+func newReceiver(now time.Time, i *Instance) *receiver {
 	return &receiver{
-		instance: i,
-		open:     make(map[string]*openJob),
-		callers:  make(map[CallerID]string),
+		instance:  i,
+		open:      make(map[string]*openJob),
+		callers:   make(map[CallerID]string),
+		withdrawn: uint64(now.UnixNano()),
 	}
 }
 
@@ -85,12 +92,16 @@
 		return
 	}
 	o.forwarded, o.everForwarded = true, true
-	i := r.instance
-	if r.leader.Leader == i.cfg.Self {
+	i, leader := r.instance, r.leader.Leader
+	if !slices.Contains(o.leaders, leader) {
+		o.leaders = append(o.leaders, leader)
+	}
+	if leader == i.cfg.Self {
 		i.dispatcher.addJob(now, i.cfg.Self, o.job)
 		return
 	}
-	env := i.envelope(r.leader.Leader)
+	i.peer(leader).withdrawals.forget(o.job.ID)
+	env := i.envelope(leader)
 	env.Jobs = append(env.Jobs, encodeJob(now, o.job))
 }
 
@@ -125,7 +136,6 @@
 		r.formerLastSeen = time.Time{}
 		return
 	}
-	former := r.leader.Leader
 	r.leader = claim
 	i.effects.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
 	earlierRunsEndBy := later(r.formerLastSeen, now).Add(earlierRunsTimeout)
@@ -136,7 +146,7 @@
 	for _, id := range r.ids() {
 		o := r.open[id]
 		if o.everForwarded {
-			r.withdrawFromFormer(now, former, id)
+			r.withdrawFromFormer(now, o)
 			o.job.EarlierLeaders++
 			o.job.EarlierRunsEndBy = earlierRunsEndBy
 		}
@@ -145,18 +155,27 @@
 	}
 }
 
-// withdrawFromFormer withdraws a job from a former leader, because another one has it
-// now.
-func (r *receiver) withdrawFromFormer(now time.Time, former netip.AddrPort, id string) {
-	switch former {
-	case netip.AddrPort{}, r.leader.Leader:
-		return
-	case r.instance.cfg.Self:
-		r.instance.dispatcher.withdraw(now, former, id)
+// withdrawFromFormer withdraws a job from all instances but the present leader, which has
+// it now.
+func (r *receiver) withdrawFromFormer(now time.Time, o *openJob) {
+	for _, addr := range o.leaders {
+		if addr != r.leader.Leader {
+			r.withdrawFrom(now, addr, o.job.ID)
+		}
+	}
+	o.leaders = nil
+}
+
+// withdrawFrom withdraws a job from the instance at addr.
+func (r *receiver) withdrawFrom(now time.Time, addr netip.AddrPort, id string) {
+	i := r.instance
+	if addr == i.cfg.Self {
+		i.dispatcher.withdraw(now, addr, id)
 		return
 	}
-	env := r.instance.envelope(former)
-	env.Withdrawn = append(env.Withdrawn, id)
+	r.withdrawn++
+	i.peer(addr).withdrawals.add(withdrawal{job: id, number: r.withdrawn, at: now})
+	i.envelope(addr) // Take adds the withdrawals.
 }
 
 // SinceOrNever returns the time from t to now for the log, or "never" if t is zero.
@@ -187,6 +206,10 @@
 func (r *receiver) jobEnded(now time.Time, from netip.AddrPort, end End) {
 	o := r.open[end.ID]
 	if o == nil {
+		if end.State == ForwardAgain && from != r.instance.cfg.Self {
+			// The leader has missed that the job was withdrawn.
+			r.withdrawFrom(now, from, end.ID)
+		}
 		return
 	}
 	current := from == r.leader.Leader
@@ -199,10 +222,9 @@
 	case !current && end.State != Completed:
 		// A former leader has dropped the job. The present leader has it.
 		return
-	case !current:
-		r.withdraw(now, end.ID)
 	}
-	delete(r.open, end.ID)
+	o.leaders = slices.DeleteFunc(o.leaders, func(addr netip.AddrPort) bool { return addr == from })
+	r.withdraw(now, end.ID)
 	note := r.instance.effects.decide
 	if end.State == Completed {
 		note = r.instance.effects.routine
@@ -271,18 +293,13 @@
 	r.withdraw(now, id)
 }
 
-// withdraw removes a job for which no caller waits, here and at the leader.
+// withdraw removes a job for which no caller waits, here and at all leaders that may have
+// it.
 func (r *receiver) withdraw(now time.Time, id string) {
 	o := r.open[id]
 	delete(r.open, id)
-	i := r.instance
-	switch {
-	case !o.forwarded:
-	case r.leader.Leader == i.cfg.Self:
-		i.dispatcher.withdraw(now, i.cfg.Self, id)
-	default:
-		env := i.envelope(r.leader.Leader)
-		env.Withdrawn = append(env.Withdrawn, id)
+	for _, addr := range o.leaders {
+		r.withdrawFrom(now, addr, id)
 	}
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -26,7 +26,8 @@
 	}
 }
 
-// checkJobs suspends jobs whose receivers have all timed out, and drops them later.
+// checkJobs drops jobs whose callers have stopped waiting by their deadlines. It suspends
+// jobs whose receivers have all timed out, and drops them later.
 // It asks reconnected receivers of a suspended job to forward it again.
 func (d *dispatcher) checkJobs(now time.Time, leadership *peer.Leadership) {
 	for _, id := range d.jobIDs() {
@@ -37,6 +38,11 @@
 		live := d.liveReceivers(now, j, leadership)
 		silent := len(live) == 0
 		switch {
+		case !now.Before(j.CallerDeadline):
+			// The receiver has answered its callers and withdraws the job, unless the
+			// withdrawal is lost.
+			d.effects.decide("job-expired", id, "age", now.Sub(j.Arrived), "placed", j.placed)
+			d.dropJob(now, j)
 		case !silent && !j.suspendedAt.IsZero() && now.Sub(j.forwardRequestedAt) > forwardRequestInterval:
 			j.forwardRequestedAt = now
 			for _, addr := range live {
