dispatch: let a run live only while its receiver confirms it

Cause: polls renewed the lease of a worker whatever was to become of its runs, so that a lost stop, not the lease, decided when a run ended. Related paths: the runs of a silent receiver were renewed for 0.35 s after the last sign of it and ended a lease of 1 s later, more than 1.3 s if the stops were lost; a heartbeat that was held up on its way counted as a sign of life when it arrived; a new leader renewed orphaned runs, whose receiver may have ended with the former leader, for 0.4 s; a receiver that had been paused forwarded jobs again before it noticed that their callers had left.

Change: the lease of a worker lasts at most until 1.1 s after the latest confirmation of each of its runs. A confirmation is an answer of the receiver's process to a heartbeat, and counts from when the heartbeat was sent. A run that is to be stopped keeps its last confirmation, an orphaned run has none. Stops are repeated every 150 ms instead of 300 ms, so that 7 of them precede the end of the lease, which also ends other runs on the worker. No task is started where the lease is about to end. The time follows from the platform's resend_ms. After a pause a receiver confirms and forwards nothing for 50 ms.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -101,6 +101,8 @@
 		Zones:       cfg.Node.Zones,
 		Unfenced:    cfg.Node.Unfenced,
 		Wall:        time.Now(),
+
+		ResubmitDelay: cfg.Node.ResubmitDelay,
 	})
 	go func() {
 		defer close(l.stopped)
--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -103,6 +103,7 @@
 		return
 	}
 	w.adopt(r, t)
+	d.pollDue = append(d.pollDue, w)
 	t.job.markPlaced(t)
 	d.effects.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
 }
@@ -177,10 +178,10 @@
 	if r == nil || r.task != t {
 		return
 	}
+	d.stop(now, w, r)
 	if !keep {
 		r.task = nil
 	}
-	d.stop(now, w, r)
 }
 
 // withdraw removes from as a receiver of a job, and drops a job without receivers.
@@ -189,6 +190,7 @@
 	if j == nil {
 		return
 	}
+	j.confirmedAt = d.jobConfirmedAt(now, j)
 	delete(j.receivers, from)
 	if len(j.receivers) == 0 {
 		d.effects.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -23,14 +23,33 @@
 	// between polls of a worker that does not answer.
 	pollRetryDelay    = 50 * time.Millisecond
 	maxPollRetryDelay = time.Second
-	// stopRetryInterval is the time after which a stop command is repeated.
-	stopRetryInterval = 300 * time.Millisecond
+	// minStartLease is the shortest lease with which a task is started: until then the
+	// lease can be renewed.
+	minStartLease = leaseDuration - leaseRenewalAge
+	// minLeaseRenewal is the time by which an extra poll must prolong a lease.
+	minLeaseRenewal = 100 * time.Millisecond
+	// stopRetryInterval is the time after which a stop command is repeated. Several must
+	// fit into the time until the lease of the run ends.
+	stopRetryInterval = 150 * time.Millisecond
 	// orphanGracePeriod is the time for which a new leader keeps orphaned runs, whose
 	// jobs may still be forwarded to it.
 	orphanGracePeriod = 400 * time.Millisecond
+	// defaultResubmitDelay is the ResubmitDelay of a Config that sets none.
+	defaultResubmitDelay = 1300 * time.Millisecond
+	// minRunConfirmation and maxRunConfirmation bound the time for which a confirmation
+	// by its receiver lets a run continue. The upper bound grants full leases while
+	// heartbeats are answered at once, and ends all runs within earlierRunsTimeout.
+	minRunConfirmation = 600 * time.Millisecond
+	maxRunConfirmation = leaseDuration + 100*time.Millisecond
+	// resubmitMargin is the time in which a caller's loss of its connection becomes known
+	// and a command arrives.
+	resubmitMargin = 50 * time.Millisecond
 	// earlierRunsTimeout is the time since something was last received from a leader
 	// after which no run that it started is running any more.
 	earlierRunsTimeout = leaseDuration + 250*time.Millisecond
+	// settleTime is the time after a pause of the process in which the connections that
+	// callers have closed meanwhile become known.
+	settleTime = 50 * time.Millisecond
 	// receiverTimeout is the time without heartbeats from all receivers of a job
 	// after which its runs are stopped, because the job may have been forwarded to
 	// another leader.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -66,6 +66,12 @@
 	// mayCommand returns the time from which and, unless it is zero, the time until
 	// which this instance may send commands to the workers of a zone that it leads.
 	mayCommand func(now time.Time, zone string) (from, until time.Time)
+	// confirmedBy returns the latest time at which an instance is known to have waited
+	// for the jobs that it had forwarded and not withdrawn, or zero.
+	confirmedBy func(now time.Time, receiver netip.AddrPort) time.Time
+	// runConfirmation is the time for which a run may continue after its receiver was
+	// last known to wait for it.
+	runConfirmation time.Duration
 	// onForgotten is called with a worker that was removed.
 	onForgotten func(w Worker)
 	pollCount   uint64
@@ -78,19 +84,20 @@
 	receivers []netip.AddrPort
 }
 
-func newDispatcher(self netip.AddrPort) *dispatcher {
+func newDispatcher(self netip.AddrPort, runConfirmation time.Duration) *dispatcher {
 	return &dispatcher{
-		self:        self,
-		terms:       make(map[string]uint64),
-		takenOver:   make(map[string]time.Time),
-		unreadZones: make(map[string]bool),
-		workers:     make(map[string]*worker),
-		jobs:        make(map[string]*activeJob),
-		ends:        make(map[string]*keptEnd),
-		running:     make(map[TaskID]*worker),
-		duplicates:  make(map[TaskID][]*worker),
-		estimates:   make(estimates),
-		topSpeed:    1,
+		self:            self,
+		terms:           make(map[string]uint64),
+		takenOver:       make(map[string]time.Time),
+		unreadZones:     make(map[string]bool),
+		workers:         make(map[string]*worker),
+		jobs:            make(map[string]*activeJob),
+		ends:            make(map[string]*keptEnd),
+		running:         make(map[TaskID]*worker),
+		duplicates:      make(map[TaskID][]*worker),
+		estimates:       make(estimates),
+		topSpeed:        1,
+		runConfirmation: runConfirmation,
 	}
 }
 
@@ -133,8 +140,6 @@
 		}
 		w.polled = false
 		w.pollSent = time.Time{}
-		// The next leader may renew the leases of these runs for a while.
-		w.leaseEnd = max(w.leaseEnd, w.clockLow(now)+orphanGracePeriod+leaseDuration)
 	}
 }
 
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -68,19 +68,15 @@
 	if slices.Contains(p.endedIncarnations, incarnation) {
 		return false
 	}
-	former, ended := *p, p.endedIncarnations
-	*p = peerState{incarnation: incarnation}
-	if former.incarnation == 0 {
-		p.withdrawals = former.withdrawals
-	} else {
-		ended = append(ended, former.incarnation)
-		if len(ended) > maxEndedIncarnations {
-			ended = ended[1:]
-		}
-		i.effects.decide("peer-restarted", addr.String(), "zone", i.leadership.Zone(addr))
-		i.dispatcher.withdrawAll(now, addr)
+	if p.incarnation == 0 {
+		*p = peerState{incarnation: incarnation, withdrawals: p.withdrawals}
+		return true
 	}
-	p.endedIncarnations = ended
+	i.effects.decide("peer-restarted", addr.String(), "zone", i.leadership.Zone(addr))
+	i.dispatcher.withdrawAll(now, addr)
+	ended := append(p.endedIncarnations, p.incarnation)
+	ended = ended[max(0, len(ended)-maxEndedIncarnations):]
+	*p = peerState{incarnation: incarnation, endedIncarnations: ended}
 	return true
 }
 
@@ -90,6 +86,9 @@
 	p := i.peer(from)
 	p.version = env.Beat.Version
 	p.withdrawals.acknowledge(env.Beat.WithdrawnReceived)
+	if sent := time.Unix(0, env.Beat.EchoNanos); env.Beat.EchoNanos != 0 && sent.After(p.confirmedAt) && !sent.After(now) {
+		p.confirmedAt = sent
+	}
 	if env.Beat.WorkersRevision < p.sentRevision || env.Beat.Reply {
 		p.sentRevision = env.Beat.WorkersRevision
 	}
@@ -102,10 +101,26 @@
 		i.envelope(from).OperatorTables = i.tables
 	}
 	if reply != nil {
+		if now.Before(i.receiver.settledAt) {
+			// Callers may have left during a pause, so that this reply confirms no job.
+			reply.EchoNanos = 0
+		}
 		i.sendHeartbeat(from, reply)
 	}
 }
 
+// confirmedBy returns the latest time at which the process at addr is known to have waited
+// for the jobs that it had forwarded and not withdrawn, or zero.
+func (i *Instance) confirmedBy(now time.Time, addr netip.AddrPort) time.Time {
+	if addr == i.cfg.Self {
+		return now
+	}
+	if p := i.peers[addr]; p != nil {
+		return p.confirmedAt
+	}
+	return time.Time{}
+}
+
 // requestIgnoredEntries requests the whole worker table of a peer that has come to lead a
 // zone of which this instance ignored its entries before.
 func (i *Instance) requestIgnoredEntries(now time.Time, from netip.AddrPort) {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -21,6 +21,9 @@
 	Weight int
 	// Unfenced is set if workers accept commands of any term.
 	Unfenced bool
+	// ResubmitDelay is the time after which a caller that got no answer may submit its
+	// job to another instance, or 0 for a default.
+	ResubmitDelay time.Duration
 	// Incarnation distinguishes this process from earlier ones at the same address.
 	Incarnation uint64
 	// Wall is the time of day when the process started.
@@ -60,6 +63,10 @@
 // other.
 type peerState struct {
 	version uint64
+	// confirmedAt is when this instance sent the latest heartbeat that the peer's process
+	// has answered: at that time or later, it waited for all jobs that it had forwarded
+	// and not withdrawn.
+	confirmedAt time.Time
 	// tablesWanted is set if the next heartbeat to the peer requests its configuration.
 	tablesWanted bool
 	// incarnation is that of the peer's process, or 0 if none is known, and
@@ -99,7 +106,7 @@
 		leadership: peer.NewLeadership(now, peer.LeadershipConfig{
 			Self: cfg.Self, Zone: cfg.Zone, Zones: cfg.Zones, Weight: cfg.Weight, Unfenced: cfg.Unfenced, Wall: cfg.Wall,
 		}),
-		dispatcher: newDispatcher(cfg.Self),
+		dispatcher: newDispatcher(cfg.Self, runConfirmation(cfg.ResubmitDelay)),
 		table:      newTable(),
 		outbox:     make(map[netip.AddrPort]*peer.Envelope),
 		peers:      make(map[netip.AddrPort]*peerState),
@@ -111,6 +118,7 @@
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
 	i.dispatcher.workersReadAt = i.WorkersReadAt
+	i.dispatcher.confirmedBy = i.confirmedBy
 	i.dispatcher.mayCommand = i.leadership.MayCommand
 	i.dispatcher.onForgotten = func(w Worker) { i.table.remove(w.ID, w.Version) }
 	return i
@@ -119,7 +127,11 @@
 // advance is called with the time of each event. After a pause of the process it
 // gives up all zones, which another instance may lead meanwhile.
 func (i *Instance) advance(now time.Time) {
-	if gap := now.Sub(i.lastEvent); gap > pauseThreshold {
+	gap := now.Sub(i.lastEvent)
+	if gap > receiverTimeout {
+		i.receiver.settledAt = now.Add(settleTime)
+	}
+	if gap > pauseThreshold {
 		i.effects.decide("process-paused", i.cfg.Zone, "for", gap)
 		i.leadership.Resumed(now)
 		i.followTerms(now)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -179,7 +179,10 @@
 type activeJob struct {
 	Job
 	receivers map[netip.AddrPort]struct{}
-	steps     [][]*task
+	// confirmedAt is the latest time at which a former receiver is known to have waited
+	// for the job, or zero.
+	confirmedAt time.Time
+	steps       [][]*task
 	// remaining counts the tasks of each step that have not ended, and totalRemaining
 	// those of all steps.
 	remaining      []int
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -53,6 +53,7 @@
 	s.effects.Sends = append(s.effects.Sends, e.Sends...)
 	s.effects.Starts = append(s.effects.Starts, e.Starts...)
 	s.effects.Stops = append(s.effects.Stops, e.Stops...)
+	s.effects.Polls = append(s.effects.Polls, e.Polls...)
 	for _, poll := range e.Polls {
 		s.report.Incarnation, s.report.Clock = 1, s.now.Sub(s.clockStart)
 		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
@@ -170,9 +171,12 @@
 	is.Equal(s.effects.Answers[0].End.State, dispatch.Completed)
 }
 
-// forward forwards a job to the instance, which leads, from a receiver in its zone.
+// forward forwards a job to the instance, which leads, from a receiver in its zone. The
+// receiver also answers a heartbeat that the instance sends now.
 func (s *scriptedInstance) forward(j *peer.Job) {
-	s.Receive(s.now, firstLeader, &peer.Envelope{Zone: "hr-north-a", Beat: &peer.Beat{Reply: true}, Jobs: []*peer.Job{j}})
+	s.Receive(s.now, firstLeader, &peer.Envelope{
+		Zone: "hr-north-a", Beat: &peer.Beat{Reply: true, EchoNanos: s.now.UnixNano()}, Jobs: []*peer.Job{j},
+	})
 }
 
 // TestJobOfAnEarlierLeaderIsNeverReportedNotRun forwards to a leader without free
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -54,7 +54,7 @@
 	}
 	d.open = d.open[:0]
 	for _, w := range d.ledWorkers() {
-		if w.usable(now) && !d.unreadZones[w.Zone] && w.free().fits(least) {
+		if w.usable(now) && !d.unreadZones[w.Zone] && w.free().fits(least) && d.startsAllowed(now, w) {
 			d.open = append(d.open, w)
 		}
 	}
@@ -74,7 +74,7 @@
 
 // startable reports whether tasks of j may be started at now.
 func (d *dispatcher) startable(now time.Time, j *activeJob) bool {
-	if !j.queued || !j.suspendedAt.IsZero() {
+	if !j.queued || !j.suspendedAt.IsZero() || now.Sub(d.jobConfirmedAt(now, j)) > d.runConfirmation-minStartLease {
 		return false
 	}
 	return j.EarlierLeaders == 0 || !now.Before(j.EarlierRunsEndBy) || d.allPolled()
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -58,7 +58,7 @@
 	switch {
 	case w.pollSent.IsZero() && !now.Before(w.nextPoll):
 		d.poll(now, w, w.wait())
-	case len(w.runs) > 0 && w.polled && w.missedPolls == 0 && w.leaseEnd-w.clock-now.Sub(w.clockAt) < leaseDuration-leaseRenewalAge:
+	case d.renewalDue(now, w):
 		d.poll(now, w, 0)
 	}
 }
@@ -122,7 +122,7 @@
 func (d *dispatcher) applyReport(now time.Time, w *worker, poll Poll, report Report) {
 	if w.incarnation != 0 && report.Incarnation != w.incarnation {
 		d.workerRestarted(now, w)
-		w.lastProcessed, w.unclaimedEnds, w.clockAt, w.leaseEnd = 0, nil, time.Time{}, 0
+		w.lastProcessed, w.unclaimedEnds, w.clockAt, w.leaseEnd, w.renewedUntil = 0, nil, time.Time{}, 0, 0
 	}
 	w.incarnation = report.Incarnation
 	if !w.clockAt.IsZero() && (report.Clock < w.clock || (report.Clock == w.clock && poll.Number < w.latestReport)) {
@@ -135,6 +135,10 @@
 	w.missedPolls = 0
 	w.clock, w.clockAt = report.Clock, now
 	fresh := !w.polled
+	if fresh {
+		// An earlier leader may have renewed the lease just before.
+		w.extendLease(w.clock + leaseDuration)
+	}
 	w.polled = true
 	d.applyFinished(now, w, report.Finished)
 	d.applyRunning(now, w, report)
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -24,6 +24,9 @@
 	leaderlessSince time.Time
 	// closed is set if new jobs are refused.
 	closed bool
+	// settledAt is the time, after a pause of the process, from which jobs are forwarded
+	// again: callers that have left meanwhile are known by then.
+	settledAt time.Time
 	// withdrawn is the number of the latest withdrawal. The numbers of a process begin
 	// after those of earlier processes on its machine.
 	withdrawn uint64
@@ -88,7 +91,7 @@
 
 // forward forwards a job to the leader, if there is one and it does not have the job.
 func (r *receiver) forward(now time.Time, o *openJob) {
-	if o.forwarded || !r.leader.Leader.IsValid() || !r.leaderlessSince.IsZero() {
+	if o.forwarded || now.Before(r.settledAt) || !r.leader.Leader.IsValid() || !r.leaderlessSince.IsZero() {
 		return
 	}
 	o.forwarded, o.everForwarded = true, true
@@ -303,11 +306,14 @@
 	}
 }
 
-// tick ends the jobs whose caller deadlines have passed.
+// tick ends the jobs whose caller deadlines have passed, and forwards those that could not
+// be forwarded before.
 func (r *receiver) tick(now time.Time) {
 	for _, id := range r.ids() {
 		if !now.Before(r.open[id].job.CallerDeadline) {
 			r.answerUnfinished(now, id, "time-out")
+			continue
 		}
+		r.forward(now, r.open[id])
 	}
 }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -12,8 +12,9 @@
 	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
-	if lease && !w.clockAt.IsZero() {
-		command.Lease = w.lease(now)
+	if limit := d.leaseLimit(now, w); lease && !w.clockAt.IsZero() && limit.After(now) {
+		command.Lease = w.leaseUntil(limit)
+		w.renewedUntil = command.Lease
 		w.extendLease(command.Lease)
 	}
 	return command
@@ -69,6 +70,7 @@
 // stop issues a command to end a run. The run uses resources until the worker has
 // reported its end.
 func (d *dispatcher) stop(now time.Time, w *worker, r *run) {
+	r.confirmedAt = d.runConfirmedAt(now, r)
 	r.state = runStopping
 	r.stopSent = now
 	r.stopClock = 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -108,6 +108,9 @@
 	// clock when it accepted one, or 0.
 	stopSent  time.Time
 	stopClock time.Duration
+	// confirmedAt is, for a run that is to be stopped, the latest time at which a receiver
+	// is known to have waited for it before, or zero.
+	confirmedAt time.Time
 	// percent is the last reported progress, and progressAt is when it last changed.
 	percent    int
 	progressAt time.Time
@@ -127,8 +130,9 @@
 	clock   time.Duration
 	clockAt time.Time
 	// leaseEnd is the time on the worker's clock by which all its runs end if no
-	// lease is renewed.
-	leaseEnd time.Duration
+	// lease is renewed, and renewedUntil the end of the lease that this leader last
+	// requested, or 0.
+	leaseEnd, renewedUntil time.Duration
 	// lastProcessed is the sequence number of the last end that was handled.
 	// unclaimedEnds are the ends of runs whose jobs may still be forwarded.
 	lastProcessed int64
@@ -177,11 +181,12 @@
 	return w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
 }
 
-// lease returns the end of a lease, on the worker's clock, that a command sent at now
-// requests.
-func (w *worker) lease(now time.Time) time.Duration {
-	return w.clock + now.Sub(w.clockAt) + leaseDuration
-}
+// clockHigh returns an estimate of the worker's clock at now, which is too high if that
+// clock runs slow.
+func (w *worker) clockHigh(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
+
+// leaseUntil returns the end, on the worker's clock, of a lease until t.
+func (w *worker) leaseUntil(t time.Time) time.Duration { return w.clockHigh(t) }
 
 // extendLease records that a command was sent with a lease until end.
 func (w *worker) extendLease(end time.Duration) { w.leaseEnd = max(w.leaseEnd, end) }
