--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -99,10 +99,12 @@
 	s.lead()
 	s.startForwarded(is, 1, abandonedID)
 	s.leasedUntil()
+	const answers = 100
 	gone := s.now
-	for range 100 {
+	for n := range answers {
+		sent := gone.Add(time.Duration(n-answers) * time.Millisecond)
 		s.Receive(s.now, firstLeader, &peer.Envelope{
-			Zone: "hr-north-a", Incarnation: 1, Beat: &peer.Beat{Reply: true, EchoNanos: gone.UnixNano()},
+			Zone: "hr-north-a", Incarnation: 1, Beat: &peer.Beat{Reply: true, EchoNanos: sent.UnixNano()},
 		})
 		s.advance(20 * time.Millisecond)
 	}
