dispatch: randomized faults where each zone has a leader of its own

Now there is a variant in which each zone has its leader, a job that is submitted again goes to any zone, and one of eight tasks runs for up to 3.6 s during the faults. New faults: a restart after 0.1 s, half of all commands late, callers that leave.

--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -16,6 +16,8 @@
 	faultTime    = 12 * time.Second
 	recoveryTime = 14 * time.Second
 	arrivalGap   = 40 * time.Millisecond
+	// quickRestart is too short for peers to notice the silence of a process.
+	quickRestart = 100 * time.Millisecond
 )
 
 // failedSeeds are seeds that failed once, beyond those that always run.
@@ -52,7 +54,11 @@
 	n := sim.instances[sim.random.IntN(len(sim.instances))]
 	f := sim.workers[sim.random.IntN(len(sim.workers))]
 	lasts := time.Duration(200+sim.random.IntN(5000)) * time.Millisecond
-	kind := sim.random.IntN(9)
+	kinds := 9
+	if sim.apart {
+		kinds = 12
+	}
+	kind := sim.random.IntN(kinds)
 	sim.note("fault %d at %v, %s, for %v", kind, n.address, f.entry.ID, lasts)
 	switch kind {
 	case 0:
@@ -91,6 +97,18 @@
 	case 8:
 		sim.lostAnswers = 0.1
 		sim.after(lasts, func() { sim.lostAnswers = 0 })
+	case 9:
+		if n.instance != nil {
+			n.kill()
+			sim.after(quickRestart, n.start)
+		}
+	case 10:
+		sim.lateCommands = 0.5
+		sim.after(lasts, func() { sim.lateCommands = 0 })
+	case 11:
+		for range 30 {
+			sim.after(time.Duration(sim.random.Int64N(int64(lasts))), sim.instances[sim.random.IntN(len(sim.instances))].disconnectCaller)
+		}
 	}
 }
 
@@ -172,10 +190,21 @@
 // a leader has to stop by itself before another one starts.
 func TestRandomFaultsWithoutFencing(t *testing.T) {
 	for seed := range seeds() {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runRandomFaults(t, newUnfencedSimulation(seed)) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runRandomFaults(t, newSimulationOf(seed, simulationConfig{unfenced: true})) })
 	}
 	for _, seed := range failedUnfencedSeeds {
-		t.Run("again-"+strconv.FormatUint(seed, 10), func(t *testing.T) { runRandomFaults(t, newUnfencedSimulation(seed)) })
+		t.Run("again-"+strconv.FormatUint(seed, 10), func(t *testing.T) { runRandomFaults(t, newSimulationOf(seed, simulationConfig{unfenced: true})) })
+	}
+}
+
+// TestRandomFaultsWithALeaderPerZone runs such faults, and others that part a caller from its
+// job, where each zone has a leader of its own: a job that is submitted again reaches a leader
+// that knows nothing of its first runs. These must have ended by then.
+func TestRandomFaultsWithALeaderPerZone(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runRandomFaults(t, newSimulationOf(seed, simulationConfig{apart: true}))
+		})
 	}
 }
 
@@ -199,7 +228,11 @@
 	}
 	sim.run(faultTime + recoveryTime)
 	sim.checkRefusals()
-	is.Equal(sim.countLeaders(), 1) // one leader once the faults are over
+	leaders := 1
+	if sim.apart {
+		leaders = len(simulationZones)
+	}
+	is.Equal(sim.countLeaders(), leaders) // one leader once the faults are over, or one for each zone
 
 	before := sim.nextJob
 	sim.submitJobs(time.Second)
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -38,12 +38,13 @@
 		Self:        n.address,
 		Zone:        simulationZones[n.zone],
 		Zones:       simulationZones,
+		Weight:      n.simulation.weight(),
 		Unfenced:    n.simulation.unfenced,
 		Incarnation: uint64(n.incarnation),
 		Wall:        n.simulation.now,
 	})
 	for _, other := range n.simulation.instances {
-		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone], 0)
+		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone], n.simulation.weight())
 	}
 	n.listWorkers()
 	n.tick(n.incarnation)
@@ -94,6 +95,20 @@
 	n.callers = nil
 }
 
+// disconnectCaller breaks the connection of a random caller, who submits its job again.
+func (n *simulatedInstance) disconnectCaller() {
+	if n.instance == nil || len(n.callers) == 0 {
+		return
+	}
+	callers := slices.Sorted(maps.Keys(n.callers))
+	caller := callers[n.simulation.random.IntN(len(callers))]
+	j := n.callers[caller]
+	delete(n.callers, caller)
+	n.simulation.note("the caller of %s leaves %v", j.id, n.address)
+	n.do(n.incarnation, func() { n.instance.Abandon(n.simulation.now, caller) })
+	n.simulation.resubmit(j)
+}
+
 // resume ends a pause of the process. It handles the events that arrived meanwhile.
 func (n *simulatedInstance) resume() {
 	n.paused = false
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -75,9 +75,8 @@
 	// tablesSent counts the configurations that were sent to each instance.
 	tablesSent map[netip.AddrPort]int
 	violations []string
-	// unfenced is set if the workers accept commands with any term.
-	unfenced bool
-	trace    []string
+	simulationConfig
+	trace []string
 }
 
 // simulatedJob is a job as its caller knows it.
@@ -91,19 +90,29 @@
 	end      dispatch.State
 }
 
-func newSimulation(seed uint64) *simulation { return newSimulationOf(seed, false) }
+// simulationConfig configures a simulation.
+type simulationConfig struct {
+	// unfenced is set if the workers accept commands with any term.
+	unfenced bool
+	// apart is set if each zone has a leader of its own. One of eight tasks then runs
+	// for up to 3.6 s during the faults, and callers submit a job again to any zone.
+	apart bool
+}
+
+// weightOfZone is the weight of an instance that can lead the workers of one zone, but not
+// those of two.
+const weightOfZone = 40
 
-// newUnfencedSimulation returns a simulation whose workers accept commands with any term.
-func newUnfencedSimulation(seed uint64) *simulation { return newSimulationOf(seed, true) }
+func newSimulation(seed uint64) *simulation { return newSimulationOf(seed, simulationConfig{}) }
 
-func newSimulationOf(seed uint64, unfenced bool) *simulation {
+func newSimulationOf(seed uint64, cfg simulationConfig) *simulation {
 	sim := &simulation{
-		unfenced:     unfenced,
-		now:          simulationStart,
-		random:       rand.New(rand.NewPCG(seed, 1)),
-		disconnected: make(map[[2]string]bool),
-		jobs:         make(map[string]*simulatedJob),
-		tablesSent:   make(map[netip.AddrPort]int),
+		simulationConfig: cfg,
+		now:              simulationStart,
+		random:           rand.New(rand.NewPCG(seed, 1)),
+		disconnected:     make(map[[2]string]bool),
+		jobs:             make(map[string]*simulatedJob),
+		tablesSent:       make(map[netip.AddrPort]int),
 	}
 	for z, zone := range simulationZones {
 		for n := range workersPerZone {
@@ -176,6 +185,9 @@
 }
 
 func (sim *simulation) runTime() time.Duration {
+	if sim.apart && sim.now.Sub(simulationStart) < warmUp+faultTime && sim.random.IntN(8) == 0 {
+		return time.Duration(1000+sim.random.IntN(2600)) * time.Millisecond
+	}
 	return time.Duration(50+sim.random.IntN(900)) * time.Millisecond
 }
 
@@ -193,8 +205,12 @@
 	return j
 }
 
-// try submits a job to a live instance of its zone.
+// try submits a job to a live instance of its zone. If each zone has a leader of its own,
+// the zone of a job that is submitted again is another one.
 func (sim *simulation) try(j *simulatedJob) {
+	if sim.apart && j.tries > 0 {
+		j.zone = sim.random.IntN(len(simulationZones))
+	}
 	j.tries++
 	var live []*simulatedInstance
 	for _, n := range sim.instances {
@@ -245,6 +261,14 @@
 	panic("no such worker: " + id)
 }
 
+// weight returns the weight of each instance, or 0 for the default.
+func (sim *simulation) weight() int {
+	if sim.apart {
+		return weightOfZone
+	}
+	return 0
+}
+
 // countLeaders counts the instances that consider themselves the leader of a zone.
 func (sim *simulation) countLeaders() int {
 	leaders := 0
