soak, standin: long tasks, leaders of zones, impatient callers, late commands

The soak missed the cases of the review: its tasks took 120 ms, and four instances of 2 zones had one leader. Now each zone has its own leader, one of twelve tasks takes 2.5 s during the faults, one of ten callers closes its connection early and submits its job again, and there are two new faults: a restart after 0.1 s, and commands to workers that are carried out 3 s later without an answer. 8 to 15 faults overlap instead of 2 to 5.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,10 +15,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/amaranthwell/amaranthwell/platform"
@@ -32,8 +34,24 @@
 	workersPerZone   = 3
 	tasksPerWorker   = 4
 	taskTime         = 120 * time.Millisecond
-	faultPhase       = 6 * time.Second
-	arrivalGap       = 25 * time.Millisecond
+	// During the faults one of longTasks tasks takes longTaskTime, longer than it takes
+	// until a caller submits its job again.
+	longTasks    = 12
+	longTaskTime = 2500 * time.Millisecond
+	// cpuShare is the processor capacity of an instance in cores. It is enough to lead
+	// the workers of one zone, but not those of both.
+	cpuShare = 0.02
+	// One of impatientCallers callers closes its first connection after impatience.
+	impatientCallers = 10
+	impatience       = 400 * time.Millisecond
+	// lateShare is the share of the commands to workers that are carried out lateTime
+	// later, and get no answer, while that fault lasts.
+	lateShare = 0.5
+	lateTime  = 3 * time.Second
+	// quickRestart is too short for peers to notice the silence of a process.
+	quickRestart = 100 * time.Millisecond
+	faultPhase   = 6 * time.Second
+	arrivalGap   = 25 * time.Millisecond
 	// resubmitAfter is the time after which a caller submits a job again whose
 	// outcome is unknown.
 	resubmitAfter = 1300 * time.Millisecond
@@ -60,6 +78,9 @@
 	subnet    uint64
 	instances []*instance
 	store     *standin.Store
+	// late is set while commands to workers are carried out late, and calm once the
+	// faults are over.
+	late, calm atomic.Bool
 	// proxies are in front of the store, the workers and the instances' peer
 	// addresses.
 	proxies []*proxy
@@ -116,9 +137,23 @@
 
 func zone(n int) string { return "hr-north-" + string(rune('a'+n)) }
 
+// runTime returns how long a task takes, which depends on its name.
+func (c *cluster) runTime(task string) time.Duration {
+	if !c.calm.Load() && xxhash.Sum64String(task)%longTasks == 0 {
+		return longTaskTime
+	}
+	return taskTime
+}
+
 func (c *cluster) addWorker(t *testing.T, id, zone string) {
 	worker := standin.NewLeasedWorker(standin.LeasedWorkerConfig{
-		ID: id, RunTime: taskTime, MaxTasks: tasksPerWorker, Started: c.checker.started, Ended: c.checker.ended,
+		ID: id, RunTimeOf: c.runTime, MaxTasks: tasksPerWorker, Started: c.checker.started, Ended: c.checker.ended,
+		LateBy: func() time.Duration {
+			if c.late.Load() && rand.Float64() < lateShare {
+				return lateTime
+			}
+			return 0
+		},
 		ClockRate: clockRates[len(c.proxies)%len(clockRates)],
 	})
 	server := httptest.NewServer(worker)
@@ -139,7 +174,7 @@
 	text, err := json.Marshal(map[string]any{
 		"node_name": fmt.Sprintf("entry-%d", number), "ip": ip, "zone": zone, "zones": zones,
 		"listen_addrs": map[string]string{"frontend": fmt.Sprintf("%s:%d", ip, port+2), "ready": fmt.Sprintf("%s:%d", ip, port+3)},
-		"port_range":   []int{port, port + 1}, "bounds": map[string]any{"grace_s": 6}, "platform": map[string]string{"address": storeProxy.address()},
+		"port_range":   []int{port, port + 1}, "bounds": map[string]any{"grace_s": 6}, "limits": map[string]any{"cpu_share": cpuShare}, "platform": map[string]string{"address": storeProxy.address()},
 	})
 	is.NoErr(err)
 	dir := t.TempDir()
@@ -220,9 +255,13 @@
 func (c *cluster) submit(id string, random *rand.Rand) int {
 	body := `{"best_effort":true,"spec":"s","pipeline":[{"count":3,"cpu":1000,"mem_mb":1,"estimated_ms":120}]}`
 	status := 0
-	for range 3 {
+	for n := range 3 {
 		i := c.instances[random.IntN(len(c.instances))]
-		status = post("http://"+i.settings.CallerAddress.String()+"/p/"+id, body)
+		timeout := callerTimeout
+		if n == 0 && random.IntN(impatientCallers) == 0 {
+			timeout = impatience
+		}
+		status = post("http://"+i.settings.CallerAddress.String()+"/p/"+id, body, timeout)
 		c.checker.mu.Lock()
 		c.checker.answered[id] = append(c.checker.answered[id], status)
 		c.checker.mu.Unlock()
@@ -234,9 +273,10 @@
 	return status
 }
 
-// post posts a job and returns the status of the answer, or 0 if there is no answer.
-func post(url, body string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+// post posts a job and returns the status of the answer, or 0 if there is no answer within
+// timeout.
+func post(url, body string, timeout time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -256,10 +296,11 @@
 
 const (
 	// Kinds of fault are numbers less than faultKinds. Those less than
-	// processFaultKinds act on a process, 3 to 5 on the store, 6 resets the
-	// connections of a proxy, and all higher ones set the mode of a proxy.
-	processFaultKinds = 3
-	faultKinds        = 14
+	// processFaultKinds act on a process, 4 to 6 on the store, 7 resets the
+	// connections of a proxy, 8 delays commands to workers, and all higher ones set the
+	// mode of a proxy.
+	processFaultKinds = 4
+	faultKinds        = 16
 )
 
 // injectFault injects a random fault into a process, a proxy or the store, and ends it
@@ -291,6 +332,11 @@
 			i.signal(syscall.SIGTERM)
 			i.wait()
 			_ = i.start()
+		case 3:
+			i.signal(syscall.SIGKILL)
+			i.wait()
+			time.Sleep(quickRestart)
+			_ = i.start()
 		}
 	})
 }
@@ -299,20 +345,24 @@
 // and ends it after duration. Only the kinds that set the mode of p use mode.
 func (c *cluster) injectConnectionOrStoreFault(kind int, p *proxy, mode proxyMode, duration time.Duration) {
 	switch kind {
-	case 3:
+	case 4:
 		c.store.SetDown(true)
 		time.Sleep(duration)
 		c.store.SetDown(false)
-	case 4:
+	case 5:
 		c.store.SetFaults(standin.StoreFaults{Delay: faultDelay, LoseAnswers: 3, DropRequests: 3})
 		time.Sleep(duration)
 		c.store.SetFaults(standin.StoreFaults{})
-	case 5:
+	case 6:
 		for _, topic := range []string{platform.WorkerTopic, platform.OperatorTopic, platform.MemberTopic} {
 			c.store.Expire(topic, c.store.End(topic))
 		}
-	case 6:
+	case 7:
 		p.reset()
+	case 8:
+		c.late.Store(true)
+		time.Sleep(duration)
+		c.late.Store(false)
 	default:
 		p.runMode(mode, duration)
 	}
@@ -371,7 +421,7 @@
 		}
 		return ids
 	}
-	for range 2 + random.IntN(4) {
+	for range 8 + random.IntN(8) {
 		at := time.Duration(random.Int64N(int64(faultPhase)))
 		r := rand.New(rand.NewPCG(seed, random.Uint64()))
 		faults.Go(func() {
@@ -384,6 +434,7 @@
 	for _, i := range c.instances {
 		is.True(i.awaitReady(ctx)) // all instances have recovered
 	}
+	c.calm.Store(true)
 	time.Sleep(2 * time.Second)
 	afterFaults := arrive(500 * time.Millisecond)
 	jobs.Wait()
--- a/standin/leased_worker.go
+++ b/standin/leased_worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -14,8 +15,13 @@
 type LeasedWorkerConfig struct {
 	// ID names the worker.
 	ID string
-	// RunTime is how long each task takes.
-	RunTime time.Duration
+	// RunTime is how long each task takes, and RunTimeOf, unless it is nil, returns it
+	// for a task by its name instead.
+	RunTime   time.Duration
+	RunTimeOf func(task string) time.Duration
+	// LateBy, unless it is nil, is called for each start and each stop. If the result is
+	// not zero, the command gets no answer and is carried out so much later.
+	LateBy func() time.Duration
 	// MaxTasks is the largest number of tasks that run at once.
 	MaxTasks int
 	// ClockRate is the speed of the worker's clock relative to real time. Zero
@@ -59,6 +65,7 @@
 type workerRun struct {
 	number    int
 	startedAt time.Time
+	duration  time.Duration
 	timer     *time.Timer
 }
 
@@ -126,15 +133,15 @@
 // ServeHTTP executes one command: start a run, stop a run, or poll.
 func (w *LeasedWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	router := chi.NewRouter()
-	router.Post("/run-start", w.handleCommand(w.serveStart))
-	router.Post("/run-stop", w.handleCommand(w.serveStop))
-	router.Post("/hold", w.handleCommand(w.servePoll))
+	router.Post("/run-start", w.handleCommand(w.serveStart, w.cfg.LateBy))
+	router.Post("/run-stop", w.handleCommand(w.serveStop, w.cfg.LateBy))
+	router.Post("/hold", w.handleCommand(w.servePoll, nil))
 	router.ServeHTTP(rw, r)
 }
 
 // handleCommand decodes a command, checks the expected worker ID and the fencing
-// token, and calls serve with the lock held.
-func (w *LeasedWorker) handleCommand(serve func(http.ResponseWriter, *http.Request, workerCommand)) http.HandlerFunc {
+// token, and calls serve with the lock held. lateBy is a LateBy or nil.
+func (w *LeasedWorker) handleCommand(serve func(http.ResponseWriter, *http.Request, workerCommand), lateBy func() time.Duration) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var cmd workerCommand
 		if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
@@ -145,14 +152,24 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if cmd.Token < w.token {
-			w.refuse(rw, "fence")
-			return
+		execute := func(rw http.ResponseWriter) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if cmd.Token < w.token {
+				w.refuse(rw, "fence")
+				return
+			}
+			w.token = cmd.Token
+			serve(rw, r, cmd)
 		}
-		w.token = cmd.Token
-		serve(rw, r, cmd)
+		if lateBy != nil {
+			if late := lateBy(); late > 0 {
+				time.AfterFunc(late, func() { execute(httptest.NewRecorder()) })
+				<-r.Context().Done() // the sender gives up
+				return
+			}
+		}
+		execute(rw)
 	}
 }
 
@@ -227,8 +244,11 @@
 	if w.cfg.Started != nil {
 		w.cfg.Started(cmd.Task)
 	}
-	r := &workerRun{number: cmd.Run, startedAt: time.Now()}
-	r.timer = time.AfterFunc(w.cfg.RunTime, func() {
+	r := &workerRun{number: cmd.Run, startedAt: time.Now(), duration: w.cfg.RunTime}
+	if w.cfg.RunTimeOf != nil {
+		r.duration = w.cfg.RunTimeOf(cmd.Task)
+	}
+	r.timer = time.AfterFunc(r.duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.running[cmd.Task] == r {
@@ -261,7 +281,7 @@
 	}
 	running := [][]any{}
 	for task, run := range w.running {
-		percent := 100 * time.Since(run.startedAt) / (w.cfg.RunTime + 1)
+		percent := 100 * time.Since(run.startedAt) / (run.duration + 1)
 		running = append(running, []any{task, run.number, "", int(percent), 1000})
 	}
 	finished := w.finished
