dispatch: a withdrawal counts before the answer that brings it

Cause: the first answer over the new stream repeats the lost withdrawal, and confirms all other jobs.

Change: withdrawals of an envelope count before its confirmation.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -40,6 +40,10 @@
 	}
 	p := i.peer(from)
 	p.withdrawnReceived = max(p.withdrawnReceived, env.WithdrawnThrough)
+	if env.Beat != nil {
+		// The withdrawals come first: the heartbeat confirms the other jobs.
+		p.confirm(now, env.Beat)
+	}
 	for _, e := range env.JobEnds {
 		i.receiver.jobEnded(now, from, decodeEnd(e))
 	}
@@ -86,9 +90,6 @@
 	p := i.peer(from)
 	p.version = env.Beat.Version
 	p.withdrawals.acknowledge(env.Beat.WithdrawnReceived)
-	if sent := time.Unix(0, env.Beat.EchoNanos); env.Beat.EchoNanos != 0 && sent.After(p.confirmedAt) && !sent.After(now) {
-		p.confirmedAt = sent
-	}
 	if env.Beat.WorkersRevision < p.sentRevision || env.Beat.Reply {
 		p.sentRevision = env.Beat.WorkersRevision
 	}
@@ -109,6 +110,13 @@
 	}
 }
 
+// confirm records that the peer's process has answered a heartbeat, if b is such an answer.
+func (p *peerState) confirm(now time.Time, b *peer.Beat) {
+	if sent := time.Unix(0, b.EchoNanos); b.EchoNanos != 0 && sent.After(p.confirmedAt) && !sent.After(now) {
+		p.confirmedAt = sent
+	}
+}
+
 // confirmedBy returns the latest time at which the process at addr is known to have waited
 // for the jobs that it had forwarded and not withdrawn, or zero.
 func (i *Instance) confirmedBy(now time.Time, addr netip.AddrPort) time.Time {
--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -184,3 +184,24 @@
 	s.heartbeats(firstLeader, 1024, 100*time.Millisecond)
 	is.True(s.jobSent(firstLeader) != nil)
 }
+
+// TestWithdrawalCountsBeforeTheAnswerThatBringsIt guards against an answer of a receiver that
+// confirms the job that it withdraws: the withdrawal was lost with a connection, and its
+// repetition arrives with the first answer over the next one.
+func TestWithdrawalCountsBeforeTheAnswerThatBringsIt(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	start := s.startForwarded(is, 1, abandonedID)
+	s.replies(1, 100*time.Millisecond)
+	gone := s.now
+	for range 15 { // the run makes progress
+		s.report.Running[0].Percent++
+		s.advance(20 * time.Millisecond)
+	}
+	s.leasedUntil()
+	s.Receive(s.now, firstLeader, &peer.Envelope{
+		Zone: "hr-north-a", Incarnation: 1, Beat: &peer.Beat{Reply: true, EchoNanos: s.now.UnixNano()}, Withdrawn: []string{start.Task.Job},
+	})
+	s.testRunEnds(is, gone, true)
+}
