--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -170,7 +170,7 @@
 	for _, addr := range i.leadership.Recipients(now) {
 		i.sendHeartbeat(addr, &peer.Beat{
 			Leads: heartbeat.Leads, Hears: heartbeat.Hears, Seeking: heartbeat.Seeking, Members: heartbeat.Members,
-			Successor: heartbeat.Successor, Weight: heartbeat.Weight, TableRevision: heartbeat.TableRevision, SentNanos: heartbeat.SentNanos,
+			Successor: heartbeat.Successor, Weight: heartbeat.Weight, TableRevision: heartbeat.TableRevision, LeaderPerZone: heartbeat.LeaderPerZone, SentNanos: heartbeat.SentNanos,
 		})
 	}
 }
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -18,6 +18,7 @@
 		m.seenSince = now
 	}
 	m.zone, m.lastSeen, m.leaving, m.weight, m.noWorkers = zone, now, leaving, int(b.Weight), b.TableRevision == 0
+	m.leaderPerZone = b.LeaderPerZone
 	if b.Reply {
 		m.repliedAt = now
 	}
@@ -93,7 +94,7 @@
 // Heartbeat returns a heartbeat with this instance's current view. It is to be
 // sent at once, because the ages in it refer to now.
 func (l *Leadership) Heartbeat(now time.Time) *Beat {
-	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, SentNanos: now.UnixNano()}
+	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, LeaderPerZone: l.leaderPerZone, SentNanos: now.UnixNano()}
 	if l.leaving && l.Leading() {
 		b.Successor = l.successor(now)
 	}
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -177,6 +177,8 @@
 	// weight is the capacity of the instance's machine in thousandths of a
 	// core.
 	weight int
+	// leaderPerZone is set if the instance wants a leader for each zone.
+	leaderPerZone bool
 	// noWorkers is set if the instance's worker table is empty.
 	noWorkers bool
 	// tableAhead is set if the instance has entries of the worker table that
--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -285,3 +285,39 @@
 	is.True(c.members[expected].Leading())
 	is.True(!c.members[staleLeader].Leading())
 }
+
+// TestLeadershipIsStableWhileInstancesDisagreeOnItsKind guards against leaders that replace
+// each other without end: some instances count more workers than others, and so want a leader
+// for each zone, while the others want one for all. Whoever leads then stays.
+func TestLeadershipIsStableWhileInstancesDisagreeOnItsKind(t *testing.T) {
+	for apart := range 1 << 4 {
+		is := is.New(t)
+		c := newCluster("hr-north-a", "hr-north-a", "hr-north-b", "hr-north-b")
+		for _, l := range c.members {
+			l.SetTableRevision(1)
+		}
+		c.run(3 * time.Second)
+		for n, addr := range c.order {
+			c.members[addr].SetLeaderPerZone(apart&(1<<n) != 0)
+		}
+		c.run(5 * time.Second)
+		claims := c.claims()
+		for range 100 {
+			c.run(40 * time.Millisecond)
+			is.Equal(c.claims(), claims)
+		}
+	}
+}
+
+// claims returns the term of each zone at the instance that leads it.
+func (c *cluster) claims() map[string]uint64 {
+	terms := make(map[string]uint64)
+	for _, l := range c.members {
+		for _, zone := range leadershipZones {
+			if term, leads := l.Leads(zone); leads {
+				terms[zone] = max(terms[zone], term)
+			}
+		}
+	}
+	return terms
+}
