--- a/peer/leadership_test.go
+++ b/peer/leadership_test.go
@@ -321,3 +321,19 @@
 	}
 	return terms
 }
+
+// TestLeaderOfAZoneIsNotReplacedForASingleLeader guards against an instance that takes over
+// all zones of a large system because it does not know most of the workers yet.
+func TestLeaderOfAZoneIsNotReplacedForASingleLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster("hr-north-a", "hr-north-a", "hr-north-b", "hr-north-b")
+	for _, l := range c.members {
+		l.SetTableRevision(1)
+		l.SetLeaderPerZone(true)
+	}
+	c.run(3 * time.Second)
+	is.Equal(c.leaders(), []int{1, 0, 1, 0})
+	c.members[c.order[0]].SetLeaderPerZone(false)
+	c.run(3 * time.Second)
+	is.Equal(c.leaders(), []int{1, 0, 1, 0})
+}
