--- a/peer/succession.go
+++ b/peer/succession.go
@@ -60,12 +60,12 @@
 // the present leader is of another zone or of a far smaller weight, and no
 // other instance of the zone ranks higher. It reports whether it made a claim.
 //
-// The present leader must want a leader per zone, too: otherwise it would take
-// the zone back. Instances may count the workers differently.
+// A leader that wants one leader for all zones, because it counts fewer workers,
+// does not take the zone back: see shouldReplace.
 func (l *Leadership) reclaimOwnZone(now time.Time) bool {
 	c := l.claims[l.cfg.Zone]
 	leader := l.members[c.Leader]
-	if !l.leaderPerZone || l.leaving || leader == nil || !leader.leaderPerZone || leader.tableAhead {
+	if !l.leaderPerZone || l.leaving || leader == nil || leader.tableAhead {
 		return false
 	}
 	light := float64(leader.weight)*replaceWeightRatio <= float64(l.cfg.Weight)
@@ -305,7 +305,8 @@
 // stableAfter, and is to be replaced by this instance. The leader of more zones
 // stays: zones is the number of zones that the leader at addr leads, and own
 // the number that this instance leads. If both are equal, the higher-ranked one
-// stays. A leader that wants a leader for each zone stays, too.
+// stays. A leader that wants a leader for each zone stays, too: it would claim its
+// zone back. Instances may count the workers differently.
 func (l *Leadership) shouldReplace(now time.Time, addr netip.AddrPort, zones, own int) bool {
 	m := l.members[addr]
 	if m == nil || l.leaderPerZone || m.leaderPerZone || m.tableAhead || m.seenSince.IsZero() || now.Sub(m.seenSince) < stableAfter || now.Sub(m.lastSeen) > LeaderTimeout {
