--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -51,7 +51,7 @@
 }
 
 // A Poll asks a worker which tasks are running and which have ended. It renews the
-// leases of all runs on the worker.
+// lease of the runs on the worker.
 type Poll struct {
 	Command
 	// Number identifies the poll. It is 0 for a probe, which only asks whether a
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -1,14 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
-
-// The worker ends all its runs when its lease expires. The leader renews the lease with its
-// polls and starts, but for no run beyond runConfirmation after the run's receiver was last
-// known to wait for it: by then the caller may have submitted the job elsewhere, where
-// nothing is known of this run. This holds however the run ought to end: a stop command may
-// be lost, the receiver may be silent, and a run may have been started by another leader.
+import "time"
 
 // runConfirmation returns the time for which a run may continue after its receiver was last
 // known to wait for it. Callers submit their jobs again after resubmitDelay, or a default if
@@ -47,6 +39,11 @@
 
 // leaseLimit returns the time until which a command sent at now may prolong the lease of w.
 // It may have passed.
+//
+// The worker ends all its runs when its lease expires. Polls and starts renew the lease, but
+// not beyond runConfirmation after the receiver of any of the runs was last known to wait for
+// it: by then a caller may have submitted the job elsewhere, where nothing is known of this
+// run. So the run ends even if each stop command is lost.
 func (d *dispatcher) leaseLimit(now time.Time, w *worker) time.Time {
 	limit := now.Add(leaseDuration)
 	for _, r := range w.runs {
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -178,7 +178,7 @@
 	}
 	r.withdrawn++
 	i.peer(addr).withdrawals.add(withdrawal{job: id, number: r.withdrawn, at: now})
-	i.envelope(addr) // Take adds the withdrawals.
+	i.envelope(addr) // Take adds the withdrawals to it.
 }
 
 // SinceOrNever returns the time from t to now for the log, or "never" if t is zero.
--- a/dispatch/withdrawals.go
+++ b/dispatch/withdrawals.go
@@ -14,7 +14,7 @@
 // withdrawal tells a leader that no caller of this receiver waits for a job any more.
 type withdrawal struct {
 	job string
-	// number orders the withdrawals of a receiver.
+	// number orders the withdrawals of a receiver, and at is when this one was made.
 	number uint64
 	at     time.Time
 }
