--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -110,13 +110,6 @@
 	}
 }
 
-// confirm records that the peer's process has answered a heartbeat, if b is such an answer.
-func (p *peerState) confirm(now time.Time, b *peer.Beat) {
-	if sent := time.Unix(0, b.EchoNanos); b.EchoNanos != 0 && sent.After(p.confirmedAt) && !sent.After(now) {
-		p.confirmedAt = sent
-	}
-}
-
 // confirmedBy returns the latest time at which the process at addr is known to have waited
 // for the jobs that it had forwarded and not withdrawn, or zero.
 func (i *Instance) confirmedBy(now time.Time, addr netip.AddrPort) time.Time {
--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -51,15 +51,22 @@
 	is.True(len(s.effects.Stops) > 5) // repeated while they get no answer
 }
 
+// leadWithRun makes the instance lead its zone with a run whose receiver answers heartbeats.
+func (s *scriptedInstance) leadWithRun(is *is.I) dispatch.Start {
+	is.Helper()
+	s.lead()
+	start := s.startForwarded(is, 1, abandonedID)
+	s.replies(1, 300*time.Millisecond)
+	s.leasedUntil()
+	return start
+}
+
 // TestUnansweredStopsLetTheLeaseEnd guards against polls that renew the lease of a run that
 // is to be stopped, beyond the time after which its caller submits the job to another zone.
 func TestUnansweredStopsLetTheLeaseEnd(t *testing.T) {
 	is := is.New(t)
 	s := newScriptedInstance()
-	s.lead()
-	start := s.startForwarded(is, 1, abandonedID)
-	s.replies(1, 300*time.Millisecond)
-	s.leasedUntil()
+	start := s.leadWithRun(is)
 	s.Receive(s.now, firstLeader, &peer.Envelope{Zone: "hr-north-a", Incarnation: 1, Withdrawn: []string{start.Task.Job}})
 	s.testRunEnds(is, s.now, true)
 }
@@ -69,10 +76,7 @@
 func TestSilentReceiverLetsTheLeaseEnd(t *testing.T) {
 	is := is.New(t)
 	s := newScriptedInstance()
-	s.lead()
-	s.startForwarded(is, 1, abandonedID)
-	s.replies(1, 300*time.Millisecond)
-	s.leasedUntil()
+	s.leadWithRun(is)
 	s.testRunEnds(is, s.now, false)
 }
 
@@ -81,10 +85,7 @@
 func TestRestartedReceiverLetsTheLeaseEnd(t *testing.T) {
 	is := is.New(t)
 	s := newScriptedInstance()
-	s.lead()
-	s.startForwarded(is, 1, abandonedID)
-	s.replies(1, 300*time.Millisecond)
-	s.leasedUntil()
+	s.leadWithRun(is)
 	gone := s.now
 	s.advance(20 * time.Millisecond)
 	s.reply(2)
