dispatch: renew no lease before the runs of a worker are known

Change: no command renews a lease before the worker has answered a poll of the present term. TestFirstPollOfAZoneRenewsNoLease fails without the first change.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -140,6 +140,9 @@
 		}
 		w.polled = false
 		w.pollSent = time.Time{}
+		// The next leader may be of a version that renews the leases of these runs for a
+		// while.
+		w.leaseEnd = max(w.leaseEnd, w.clockLow(now)+orphanGracePeriod+leaseDuration)
 	}
 }
 
--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -206,3 +206,38 @@
 	})
 	s.testRunEnds(is, gone, true)
 }
+
+// TestFirstPollOfAZoneRenewsNoLease guards against an instance that leads a zone again and
+// renews, with its first poll of a worker, the lease of runs that it does not know: those of
+// the leader in between, which takes them for ended when its own lease is over.
+func TestFirstPollOfAZoneRenewsNoLease(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedInstance{now: simulationStart, clockStart: simulationStart}
+	s.Instance = dispatch.NewInstance(s.now, dispatch.Config{
+		Self: selfAddress, Zone: "hr-north-b", Zones: []string{"hr-north-a", "hr-north-b"}, Wall: s.now,
+	})
+	leadsA := func(term uint64, successor string) {
+		s.Receive(s.now, secondLeader, &peer.Envelope{Zone: "hr-north-a", Leaving: successor != "", Beat: &peer.Beat{
+			Leads: []*peer.Lead{{Zone: "hr-north-a", Term: term}}, Successor: successor,
+		}})
+	}
+	for !s.Leading() {
+		s.advance(10 * time.Millisecond)
+	}
+	s.SetWorker(s.now, dispatch.Worker{
+		ID: "w-1", Address: netip.MustParseAddrPort("10.0.1.1:80"), Pool: "editor", Zone: "hr-north-a",
+		Capacity: dispatch.Resources{Millicores: 9000, Memory: 100},
+	})
+	term := uint64(1) << 62
+	for range 2 {
+		leadsA(term, "")
+		s.advance(100 * time.Millisecond)
+		s.effects.Polls = nil
+		leadsA(term, selfAddress.String())
+		s.advance(20 * time.Millisecond)
+		is.True(len(s.effects.Polls) > 0)
+		is.Equal(s.effects.Polls[0].Lease, time.Duration(0))
+		s.advance(100 * time.Millisecond)
+		term += 1 << 20
+	}
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// commandTo returns the command header for w at now. If lease is set and the worker's clock
-// is known, it renews the lease of w as far as leaseLimit allows.
+// commandTo returns the command header for w at now. If lease is set, and the worker's clock
+// and runs are known, it renews the lease of w as far as leaseLimit allows.
 func (d *dispatcher) commandTo(now time.Time, w *worker, lease bool) Command {
 	command := Command{Worker: w.ID, Address: w.Address, Term: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
 	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
-	if !lease || w.clockAt.IsZero() {
+	if !lease || !w.polled || w.clockAt.IsZero() {
 		return command
 	}
 	if limit := d.leaseLimit(now, w); limit.After(now) {
