--- /dev/null
+++ b/dispatch/backlog.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import "time"
+
+// poolLoad is the load of the workers of one pool that this instance commands.
+type poolLoad struct {
+	// capacity is the processor capacity of the usable workers, and free the unused
+	// capacity of those on which another typical task fits, in thousandths of a core.
+	capacity, free int
+	// waiting is the capacity that the waiting tasks need, in thousandths of a core.
+	waiting int
+	// work is the expected processor time of the waiting tasks in core-seconds, by
+	// urgency.
+	work map[int]float64
+}
+
+// poolLoad returns the load of a pool at now.
+func (d *dispatcher) poolLoad(now time.Time, pool string) poolLoad {
+	load := poolLoad{work: make(map[int]float64)}
+	for _, w := range d.ledWorkers() {
+		if w.Pool != pool || !w.usable(now) {
+			continue
+		}
+		load.capacity += w.Capacity.Millicores
+		if free := w.free().Millicores; float64(free) >= d.typicalMillicores {
+			load.free += free
+		}
+	}
+	for _, j := range d.queue.jobs {
+		if j.Pool != pool {
+			continue
+		}
+		for _, t := range j.waiting {
+			step := j.Steps[t.id.Step]
+			load.waiting += step.Needs.Millicores
+			run := d.estimates.expectedRunTime(j.Route, step.Estimate)
+			load.work[j.Urgency] += run.Seconds() * float64(step.Needs.Millicores) / 1000
+		}
+	}
+	return load
+}
+
+// wait returns the expected time until a job of the given urgency that is added to the
+// queue can start: the time in which the workers do the work ahead of it. It is negative if
+// there is no usable worker.
+func (l poolLoad) wait(urgency int) time.Duration {
+	if l.capacity == 0 {
+		return -1
+	}
+	if l.waiting < l.free {
+		return 0
+	}
+	ahead := 0.0
+	for u, work := range l.work {
+		if u <= urgency {
+			ahead += work
+		}
+	}
+	return time.Duration(ahead / (float64(l.capacity) / 1000) * float64(time.Second))
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -92,9 +92,9 @@
 		}
 		switch {
 		case !j.started && now.After(j.maxWaitUntil()):
-			d.endJob(now, j, j.notServed("overload"))
+			d.giveUp(now, j, "overload")
 		case j.placed == 0 && now.Add(best).After(j.worthlessAfter()):
-			d.endJob(now, j, j.notServed("overload"))
+			d.giveUp(now, j, "overload")
 		}
 	}
 	if d.queue.stale {
@@ -102,6 +102,11 @@
 	}
 }
 
+// giveUp ends a job that this leader does not serve.
+func (d *dispatcher) giveUp(now time.Time, j *activeJob, reason string) {
+	d.endJob(now, j, j.notServed(reason))
+}
+
 // minChainTime returns the expected run time of j's longest chain of tasks on a fast
 // worker.
 func (d *dispatcher) minChainTime(j *activeJob) time.Duration {
