dispatch, platform, cmd/amaranthwell: no task starts in a drained zone

The operators' records evacuate/ZONE were ignored, so that tasks started in zones that they had drained.

Each instance reads the records with the operators' tables, in the same reads, and sends its list of drained zones with a revision in every heartbeat and reply. The list with the highest revision counts and is never replaced by an earlier one. A leader chooses no worker of a drained zone, counts none as capacity, and starts nothing before it knows a list. Running tasks end normally. A job whose pool has workers in drained zones only is given up at once. When a zone returns, the speeds learned of its workers are aged.

Tests for each kind of leader and each case, tests with processes' services for the reads and the way through a peer, and randomized fault runs in which zones are drained and returned and the store refuses instances.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -57,6 +57,7 @@
 	hasLeader, leading atomic.Bool
 	// tablesReadAt and workersReadAt are those of the instance.
 	tablesReadAt, workersReadAt atomic.Pointer[time.Time]
+	drained                     *drainedState
 	// leadingChanged receives a value when leading changes, unless an earlier
 	// value is still unread.
 	leadingChanged chan struct{}
@@ -82,6 +83,7 @@
 		jobSeconds:     make(map[dispatch.State]*metrics.Histogram),
 
 		decisions: newDecisionLog(cfg.Logger),
+		drained:   newDrainedState(cfg.Metrics, cfg.Node.Zones),
 	}
 	l.links = newLinks(l)
 	l.commands = newWorkerCommands(cfg.Workers, cfg.Metrics, l.post, l.decisions)
@@ -156,6 +158,7 @@
 func (l *dispatchLoop) publishState(now time.Time, i *dispatch.Instance) {
 	storeTime(&l.tablesReadAt, i.TablesReadAt())
 	storeTime(&l.workersReadAt, i.WorkersReadAt())
+	l.drained.copy(now, i)
 	l.hasLeader.Store(i.HasLeader(now))
 	if i.Leading() == l.leading.Load() {
 		return
--- a/cmd/amaranthwell/explain.go
+++ b/cmd/amaranthwell/explain.go
@@ -25,7 +25,7 @@
 // stateEvents are the events of an instance that affect all requests, such as a
 // change of the leader or of the configuration.
 var stateEvents = []string{
-	"started", "leaving", "ended", "process-paused", "leader", "leader-lost", "zone-leadership-started", "zone-leadership-ended", "fenced",
+	"started", "leaving", "ended", "process-paused", "leader", "leader-lost", "zone-leadership-started", "zone-leadership-ended", "zone-drained", "zone-returned", "fenced",
 	"store-lost", "store-regained", "configuration", "log-lines-dropped", "log-jobs-left-out", "log-lines-left-out",
 }
 
--- a/cmd/amaranthwell/follow.go
+++ b/cmd/amaranthwell/follow.go
@@ -76,15 +76,19 @@
 	}
 }
 
-// followTables applies each new version of the operators' tables. It returns the
-// first error of the store.
+// followTables applies each new version of the operators' tables, and the list of the
+// drained availability zones, which are records of the same topic. It returns the first
+// error of the store; the next call reads all records again.
 func (s *service) followTables(ctx context.Context) error {
 	records, next, err := s.store.Newest(ctx, platform.OperatorTopic)
 	if err != nil {
 		return err
 	}
+	drained := make(drainRequests)
 	for {
 		s.recordStoreAnswer("tables")
+		drained.apply(records)
+		s.setDrainedZones(next, drained)
 		s.loop.post(func(now time.Time, i *dispatch.Instance) { i.RecordTablesRead(now) })
 		for _, r := range records {
 			if r.Key == platform.ConfigurationKey && !r.Deleted {
--- a/cmd/amaranthwell/serve_test.go
+++ b/cmd/amaranthwell/serve_test.go
@@ -40,6 +40,17 @@
 	p := &testPlatform{store: standin.NewStore(standin.StoreConfig{})}
 	store := httptest.NewServer(p.store)
 	t.Cleanup(store.Close)
+	p.startWorkers(t)
+	for n := range 2 {
+		p.startNode(t, n, store.Listener.Addr().String())
+	}
+	is.Equal(len(p.nodes), 2)
+	return p
+}
+
+// startWorkers starts two workers, and lists them and the operators' tables in the store.
+func (p *testPlatform) startWorkers(t *testing.T) {
+	t.Helper()
 	p.store.Put(platform.OperatorTopic, platform.ConfigurationKey, []byte(`{"version":1,"routes":[
 		{"name":"previews","host":"photos.example","path_prefix":"/p/","service":"editor","max_attempts":2,
 		"timeout_ms":3000,"stretch_factor":5,"target_latency_ms":2000}],"limits":{"max_body_bytes":100000}}`))
@@ -52,11 +63,6 @@
 		p.store.Put(platform.WorkerTopic, fmt.Sprintf("w-%d", n), worker.ListRecord("editor", server.Listener.Addr().String(), "hr-north-a"))
 		p.workers = append(p.workers, worker)
 	}
-	for n := range 2 {
-		p.startNode(t, n, store.Listener.Addr().String())
-	}
-	is.Equal(len(p.nodes), 2)
-	return p
 }
 
 // startNode starts an entry instance at an address of its own.
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -18,7 +18,7 @@
 func (d *dispatcher) poolLoad(now time.Time, pool string) poolLoad {
 	load := poolLoad{work: make(map[int]float64)}
 	for _, w := range d.ledWorkers() {
-		if w.Pool != pool || !w.usable(now) {
+		if w.Pool != pool || !d.available(now, w) {
 			continue
 		}
 		load.capacity += w.Capacity.Millicores
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -26,6 +26,8 @@
 	// unreadZones are the zones in which no task may be started, because the worker
 	// table may be too old.
 	unreadZones map[string]bool
+	// drained is the list of the drained zones.
+	drained drainedZones
 	// workers are the workers of the worker table by their IDs, and sortedWorkers the
 	// same workers in the order of their IDs.
 	workers       map[string]*worker
@@ -170,7 +172,7 @@
 	d.led, d.pollDue = nil, nil
 	for i, w := range d.sortedWorkers {
 		fresh := newWorker(w.Worker)
-		fresh.speed = w.speed
+		fresh.speed, fresh.unproven = w.speed, w.unproven
 		d.sortedWorkers[i] = fresh
 		d.workers[w.ID] = fresh
 	}
--- a/dispatch/example_test.go
+++ b/dispatch/example_test.go
@@ -19,6 +19,7 @@
 		ID: "w-1", Address: netip.MustParseAddrPort("10.0.1.1:80"), Pool: "editor", Zone: "hr-north-a",
 		Capacity: dispatch.Resources{Millicores: 4000, Memory: 100},
 	})
+	i.SetDrainedZones(now, 1, nil)
 	step := func() dispatch.Effects {
 		now = now.Add(20 * time.Millisecond)
 		i.Tick(now)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -84,9 +84,10 @@
 	return true
 }
 
-// receiveHeartbeat handles a peer's heartbeat. It replies if the peer asks for it, and
+// receiveHeartbeat handles a peer's heartbeat, with its list of drained zones. It replies if the peer asks for it, and
 // sends the configuration if the peer requests it.
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
+	i.dispatcher.setDrainedZones(now, env.Beat.DrainedRevision, env.Beat.DrainedZones, from.String())
 	p := i.peer(from)
 	p.version = env.Beat.Version
 	p.withdrawals.acknowledge(env.Beat.WithdrawnReceived)
@@ -171,6 +172,7 @@
 // sendHeartbeat sends a heartbeat. A leader adds the changes of its worker table.
 func (i *Instance) sendHeartbeat(to netip.AddrPort, heartbeat *peer.Beat) {
 	heartbeat.Version = i.version
+	heartbeat.DrainedZones, heartbeat.DrainedRevision = i.dispatcher.drained.zones, i.dispatcher.drained.revision
 	p := i.peer(to)
 	heartbeat.WorkersRevision = p.receivedRevision
 	heartbeat.WithdrawnReceived = p.withdrawnReceived
--- a/dispatch/large_zone_bench_test.go
+++ b/dispatch/large_zone_bench_test.go
@@ -52,6 +52,7 @@
 		zones = append(zones, largeZoneName(n))
 	}
 	z.Instance = dispatch.NewInstance(z.now, dispatch.Config{Self: selfAddress, Zone: zones[0], Zones: zones, Weight: 800, Wall: z.now})
+	z.SetDrainedZones(z.now, 1, nil)
 	z.SetExpectedWorkers(z.now, largeZones*largeWorkersPerZone)
 	var workers []dispatch.Worker
 	for n := range largeZones {
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -34,6 +34,7 @@
 	s.Instance = dispatch.NewInstance(s.now, dispatch.Config{
 		Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: s.now,
 	})
+	s.SetDrainedZones(s.now, 1, nil)
 	return s
 }
 
@@ -54,6 +55,7 @@
 	s.effects.Starts = append(s.effects.Starts, e.Starts...)
 	s.effects.Stops = append(s.effects.Stops, e.Stops...)
 	s.effects.Polls = append(s.effects.Polls, e.Polls...)
+	s.effects.Decisions = append(s.effects.Decisions, e.Decisions...)
 	for _, poll := range e.Polls {
 		s.report.Incarnation, s.report.Clock = 1, s.now.Sub(s.clockStart)
 		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -216,6 +216,7 @@
 	s.Instance = dispatch.NewInstance(s.now, dispatch.Config{
 		Self: selfAddress, Zone: "hr-north-b", Zones: []string{"hr-north-a", "hr-north-b"}, Wall: s.now,
 	})
+	s.SetDrainedZones(s.now, 1, nil)
 	leadsA := func(term uint64, successor string) {
 		s.Receive(s.now, secondLeader, &peer.Envelope{Zone: "hr-north-a", Leaving: successor != "", Beat: &peer.Beat{
 			Leads: []*peer.Lead{{Zone: "hr-north-a", Term: term}}, Successor: successor,
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -24,6 +24,7 @@
 	d.findUnreadZones(now)
 	d.queue.sort()
 	d.checkObjectives(now)
+	d.refuseDrained(now)
 	if len(d.queue.jobs) == 0 {
 		return
 	}
@@ -54,7 +55,7 @@
 	}
 	d.open = d.open[:0]
 	for _, w := range d.ledWorkers() {
-		if w.usable(now) && !d.unreadZones[w.Zone] && w.free().fits(least) && d.startsAllowed(now, w) {
+		if d.available(now, w) && !d.unreadZones[w.Zone] && w.free().fits(least) && d.startsAllowed(now, w) {
 			d.open = append(d.open, w)
 		}
 	}
@@ -180,7 +181,7 @@
 		if !t.job.late && now.Add(runTime).After(t.job.objective) {
 			continue
 		}
-		s := score{class: speedClass(expected, runTime), wasted: d.wasted(w, step.Needs)}
+		s := score{class: speedClass(expected, runTime), unproven: w.unproven > 0, wasted: d.wasted(w, step.Needs)}
 		if best == nil || s.less(bestScore) {
 			best, bestScore = w, s
 		}
@@ -212,6 +213,8 @@
 type score struct {
 	// class is the class of the run time on the worker, on a logarithmic scale.
 	class int
+	// unproven is set if the worker's speed is not known.
+	unproven bool
 	// wasted is the processor capacity, in thousandths of a core, that would be left
 	// unusable.
 	wasted int
@@ -221,6 +224,9 @@
 	if s.class != other.class {
 		return s.class < other.class
 	}
+	if s.unproven != other.unproven {
+		return other.unproven
+	}
 	return s.wasted < other.wasted
 }
 
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -171,7 +171,7 @@
 	if j.succeeded > 0 {
 		expected, weight = j.runTimeSum/time.Duration(j.succeeded), speedWeight
 	}
-	w.updateSpeed(expected, runTime, weight)
+	w.updateSpeed(expected, runTime, w.speedWeight(weight))
 	j.runTimeSum += atSpeedOne
 	j.succeeded++
 	d.estimates.record(j.Route, step.Estimate, atSpeedOne)
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -24,6 +24,10 @@
 	// lossy are the peers to which an envelope was lost since the last reset of the
 	// link.
 	lossy map[netip.AddrPort]bool
+	// refused is set while the store refuses to answer the instance about drained zones,
+	// and couldNotLearnAt is when the instance was last unable to learn of them.
+	refused         bool
+	couldNotLearnAt time.Time
 }
 
 func (n *simulatedInstance) name() string { return n.address.String() }
@@ -46,6 +50,7 @@
 	for _, other := range n.simulation.instances {
 		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone], n.simulation.weight())
 	}
+	n.readDrains()
 	n.listWorkers()
 	n.tick(n.incarnation)
 }
@@ -142,6 +147,7 @@
 		n.simulation.note("%v %s %s %v", n.address, d.Event, d.Subject, d.Fields)
 	}
 	for _, s := range e.Starts {
+		n.checkDrained(s)
 		n.sendCommand(incarnation, s.Command, func(w *fakeWorker) dispatch.Outcome { return w.start(s) },
 			func(o dispatch.Outcome, clock time.Duration) { n.instance.StartDone(n.simulation.now, s, o, clock) })
 	}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -74,6 +74,8 @@
 	nextJob                   int
 	// tablesSent counts the configurations that were sent to each instance.
 	tablesSent map[netip.AddrPort]int
+	// drains are the zones that are drained.
+	drains     drainStore
 	violations []string
 	simulationConfig
 	trace []string
@@ -113,6 +115,7 @@
 		disconnected:     make(map[[2]string]bool),
 		jobs:             make(map[string]*simulatedJob),
 		tablesSent:       make(map[netip.AddrPort]int),
+		drains:           drainStore{since: make(map[string]time.Time)},
 	}
 	for z, zone := range simulationZones {
 		for n := range workersPerZone {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -77,12 +77,12 @@
 	return slices.Sorted(maps.Keys(d.jobs))
 }
 
-// fastSpeed returns the 90th percentile of the speeds of the usable workers, or 1 if
+// fastSpeed returns the 90th percentile of the speeds of the available workers, or 1 if
 // there are none.
 func (d *dispatcher) fastSpeed(now time.Time) float64 {
 	var speeds []float64
 	for _, w := range d.ledWorkers() {
-		if w.usable(now) {
+		if d.available(now, w) {
 			speeds = append(speeds, w.speed)
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -150,8 +150,10 @@
 	latestReport uint64
 	// excludedUntil is the time from which the worker may be assigned tasks again.
 	excludedUntil time.Time
-	// speed is relative to the median worker.
-	speed float64
+	// speed is relative to the median worker, and unproven the number of further run
+	// times after which it counts as known.
+	speed    float64
+	unproven int
 	// missingSince is when the worker disappeared from the worker table, or zero.
 	missingSince time.Time
 	// failuresInRow counts the failures since the last success.
