operator, backend, entry: the tables can drain the servers of a zone

A pool's list drained-zones names the availability zones on whose servers no task of the pool is started; running tasks end normally and waiting ones run elsewhere. check refuses a zone in which the pool has no server, publish and audit name the drained zones that an edit adds or removes, and show lists them. Jobs that only drained servers could run are refused at once. Encodings and texts of tables without drained zones are as before, since instances compare their digests.

--- a/backend/dispatcher.go
+++ b/backend/dispatcher.go
@@ -37,6 +37,9 @@
 	// this instance holds, sorted by address.
 	servers map[netip.AddrPort]*server
 	held    []*server
+	// drainedZones holds the availability zones on whose servers no task is
+	// started.
+	drainedZones []string
 	// heaps contains one heap of servers for each distinct demand of a route.
 	heaps []*serverHeap
 	// usable, free and busy are the sums of the fields of the same names of
--- a/backend/scheduler.go
+++ b/backend/scheduler.go
@@ -63,6 +63,12 @@
 	sched.d.setServers(now, servers)
 }
 
+// SetDrainedZones replaces the availability zones on whose servers no task is
+// started. Tasks that run there end normally.
+func (sched *Scheduler[ID]) SetDrainedZones(zones []string) {
+	sched.d.setDrainedZones(zones)
+}
+
 // SetLeaving records whether the platform's list marks a server as leaving.
 func (sched *Scheduler[ID]) SetLeaving(now time.Time, addr netip.AddrPort, isLeaving bool) {
 	sched.d.ejector.SetLeaving(now, addr, isLeaving)
--- a/backend/server.go
+++ b/backend/server.go
@@ -25,6 +25,9 @@
 	row operator.Server
 	// held reports whether this instance may start tasks on the server.
 	held bool
+	// drained is set if no task is started on the server because its
+	// availability zone is drained.
+	drained bool
 	// released is when this instance last stopped holding the server.
 	released time.Time
 	health   *health
@@ -57,9 +60,9 @@
 }
 
 // limit returns the maximum number of tasks that may run on s at once. It is 0
-// if this instance does not hold s.
+// if this instance does not hold s, or s is drained.
 func (s *server) limit() int {
-	if !s.held {
+	if !s.held || s.drained {
 		return 0
 	}
 	return s.health.limit(s.row.Slots)
--- a/backend/tables.go
+++ b/backend/tables.go
@@ -121,6 +121,7 @@
 		}
 		s.row = row
 		s.held = true
+		d.setDrained(s)
 		d.ejector.Add(row.Address)
 		d.held = append(d.held, s)
 	}
@@ -133,6 +134,28 @@
 	d.refreshAll()
 }
 
+// setDrainedZones replaces the drained zones.
+func (d *dispatcher) setDrainedZones(zones []string) {
+	if slices.Equal(zones, d.drainedZones) {
+		return
+	}
+	d.drainedZones = slices.Clone(zones)
+	for _, s := range d.held {
+		d.setDrained(s)
+	}
+	d.refreshAll()
+}
+
+// setDrained records whether the zone of s is drained. A server that returns may have
+// restarted, so that its speed counts as uncertain.
+func (d *dispatcher) setDrained(s *server) {
+	was := s.drained
+	s.drained = slices.Contains(d.drainedZones, s.row.Zone)
+	if was && !s.drained {
+		s.slowness.variance = speedVariance
+	}
+}
+
 func (d *dispatcher) addServer(now time.Time, addr netip.AddrPort) *server {
 	s := &server{
 		health:    d.ejector.add(addr),
--- a/caller/job.go
+++ b/caller/job.go
@@ -58,6 +58,9 @@
 	ReasonUnknownRoute Reason = "unknown-route"
 	// ReasonImpossible means that no backend server could ever run the job.
 	ReasonImpossible Reason = "impossible"
+	// ReasonDrained means that the operators have drained the availability zones
+	// of all backend servers that could run the job.
+	ReasonDrained Reason = "drained"
 	// ReasonTimeout means that the job's timeout passed.
 	ReasonTimeout Reason = "timeout"
 	// ReasonCancelled means that the caller cancelled the job.
--- a/cmd/amaranthwell/main_test.go
+++ b/cmd/amaranthwell/main_test.go
@@ -138,6 +138,34 @@
 	is.True(strings.HasSuffix(lines[2], "from revision 1: refused: stale-base; revision 2 by ivo stays"))
 }
 
+// Guards against commands that accept a drained zone and do not show it.
+func TestCommandsShowDrainedZones(t *testing.T) {
+	is := is.New(t)
+	f := newCommandFixture(t)
+	body, err := os.ReadFile(f.valid)
+	is.NoErr(err)
+	drain := func(zone string) {
+		changed := strings.Replace(string(body), "[[pools]]", "[[pools]]\ndrained-zones = [\""+zone+"\"]", 1)
+		is.NoErr(os.WriteFile(f.changed, []byte(changed), 0o600))
+	}
+	drain("nowhere")
+	code, out := f.run("check", f.changed)
+	is.Equal(code, 1)
+	is.True(strings.Contains(out, `pools.editing.drained-zones: no server of the pool is in zone "nowhere"`))
+	drain("hr-north-a")
+	code, _ = f.run("check", f.changed)
+	is.Equal(code, 0)
+	for _, file := range []string{f.valid, f.changed} {
+		code, out = f.run("publish", "--log", "URL", "--author", "ana", file)
+		is.Equal(code, 0)
+	}
+	is.True(strings.Contains(out, "accepted: revision 2 at offset 2: drained-zones +editing/hr-north-a"))
+	_, out = f.run("show", "--log", "URL")
+	is.True(strings.Contains(out, "pool editing: 1 servers, 8 slots, drained in hr-north-a"))
+	_, out = f.run("audit", "--log", "URL")
+	is.True(strings.HasSuffix(strings.TrimSpace(out), "accepted as revision 2: drained-zones +editing/hr-north-a"))
+}
+
 // The outcome of a publication is unknown while the store is down. The edit is then
 // repeated under the ID that was printed, and applied once. A lost answer and a log
 // that has lost its records are covered too.
--- a/cmd/amaranthwell/show.go
+++ b/cmd/amaranthwell/show.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/operator"
@@ -65,6 +66,10 @@
 		for _, s := range p.Servers {
 			slots += s.Slots
 		}
-		fmt.Fprintf(c.env.stdout, "pool %s: %d servers, %d slots\n", p.Name, len(p.Servers), slots)
+		drained := ""
+		if len(p.DrainedZones) > 0 {
+			drained = ", drained in " + strings.Join(p.DrainedZones, ", ")
+		}
+		fmt.Fprintf(c.env.stdout, "pool %s: %d servers, %d slots%s\n", p.Name, len(p.Servers), slots, drained)
 	}
 }
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -61,21 +61,30 @@
 		return route, caller.ReasonUnknownRoute, "no route is named " + in.Route
 	}
 	pool, ok := i.tables.Pool(route.Pool)
-	if !ok || !fits(route, pool) {
+	fits, drained := fit(route, pool)
+	switch {
+	case !ok || !fits:
 		return route, caller.ReasonImpossible, "no backend server of pool " + route.Pool + " is large enough"
+	case drained:
+		return route, caller.ReasonDrained, "the backend servers of pool " + route.Pool + " are drained"
+	default:
+		return route, "", ""
 	}
-	return route, "", ""
 }
 
-// fits reports whether some backend server of pool is large enough for a task of
-// route.
-func fits(route operator.Route, pool operator.Pool) bool {
+// fit reports whether some backend server of pool is large enough for a task of
+// route, and whether the availability zones of all such servers are drained.
+func fit(route operator.Route, pool operator.Pool) (fits, drained bool) {
 	for _, s := range pool.Servers {
-		if s.Slots > 0 && route.Cores <= float64(s.Cores) && route.MemoryMiB <= s.MemoryMiB {
-			return true
+		if s.Slots <= 0 || route.Cores > float64(s.Cores) || route.MemoryMiB > s.MemoryMiB {
+			continue
 		}
+		if !pool.Drained(s.Zone) {
+			return true, false
+		}
+		fits = true
 	}
-	return false
+	return fits, fits
 }
 
 // refuse answers a submission as not-run. None of the submission's tasks may start
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -46,6 +46,7 @@
 		}
 		p.servers = t.Servers
 		p.scheduler.SetRoutes(i.routesOf(t.Name))
+		p.scheduler.SetDrainedZones(t.DrainedZones)
 	}
 	for _, name := range sortedMapKeys(i.pools) {
 		if !inTables[name] {
--- a/operator/check.go
+++ b/operator/check.go
@@ -219,8 +219,9 @@
 			c.addProblem(loc, "servers", "no server")
 		}
 		t.Pools = append(t.Pools, Pool{
-			Name:    r.row.Name,
-			Servers: c.servers(loc, r.row.Servers, addresses),
+			Name:         r.row.Name,
+			Servers:      c.servers(loc, r.row.Servers, addresses),
+			DrainedZones: c.drainedZones(loc, r.row),
 		})
 	}
 	if len(addresses) > MaxServers {
@@ -229,6 +230,21 @@
 	return names
 }
 
+// drainedZones checks the drained zones of a pool: each is the zone of a server of the
+// pool, and is listed once.
+func (c *checker) drainedZones(loc location, row poolRow) []string {
+	zones := slices.Sorted(slices.Values(row.DrainedZones))
+	for i, zone := range zones {
+		switch {
+		case i > 0 && zones[i-1] == zone:
+			c.addProblem(loc, "drained-zones", "%q is listed twice", zone)
+		case !slices.ContainsFunc(row.Servers, func(s serverRow) bool { return s.Zone == zone }):
+			c.addProblem(loc, "drained-zones", "no server of the pool is in zone %q", zone)
+		}
+	}
+	return zones
+}
+
 // servers checks the servers of one pool. It adds each new address to addresses,
 // which maps an address to its first row over all pools.
 func (c *checker) servers(pool location, rows []serverRow, addresses map[netip.AddrPort]string) []Server {
--- a/operator/diff.go
+++ b/operator/diff.go
@@ -16,9 +16,10 @@
 
 // Changes names the rows that differ between two Tables.
 type Changes struct {
-	// Routes and Pools hold names, Servers holds addresses. A pool is listed
-	// only when it is added or removed; its servers are listed separately.
-	Routes, Pools, Servers RowChanges
+	// Routes and Pools hold names, Servers holds addresses, and DrainedZones
+	// holds pools with zones, as "pool/zone". A pool is listed only when it is
+	// added or removed; its servers and drained zones are listed separately.
+	Routes, Pools, Servers, DrainedZones RowChanges
 }
 
 // Diff returns what changed from before to after. A nil Tables has no rows.
@@ -27,6 +28,7 @@
 	c.Routes = diffRows(routesOf(before), routesOf(after))
 	c.Pools = diffRows(poolsOf(before), poolsOf(after))
 	c.Servers = diffRows(serversOf(before), serversOf(after))
+	c.DrainedZones = diffRows(drainedZonesOf(before), drainedZonesOf(after))
 	return c
 }
 
@@ -76,6 +78,19 @@
 	return rows
 }
 
+func drainedZonesOf(t *Tables) []namedRow {
+	var rows []namedRow
+	if t == nil {
+		return rows
+	}
+	for _, p := range t.Pools {
+		for _, zone := range p.DrainedZones {
+			rows = append(rows, namedRow{name: p.Name + "/" + zone})
+		}
+	}
+	return rows
+}
+
 // diffRows returns the names of the rows that are only in after, differ, or are only
 // in before.
 func diffRows(before, after []namedRow) RowChanges {
@@ -112,7 +127,7 @@
 	for _, table := range []struct {
 		name string
 		rows RowChanges
-	}{{"routes", c.Routes}, {"pools", c.Pools}, {"servers", c.Servers}} {
+	}{{"routes", c.Routes}, {"pools", c.Pools}, {"servers", c.Servers}, {"drained-zones", c.DrainedZones}} {
 		if text := table.rows.String(); text != "" {
 			parts = append(parts, table.name+" "+text)
 		}
--- a/operator/rows.go
+++ b/operator/rows.go
@@ -27,8 +27,11 @@
 }
 
 type poolRow struct {
-	Name    string      `toml:"name" json:"name"`
-	Servers []serverRow `toml:"servers" json:"servers"`
+	Name string `toml:"name" json:"name"`
+	// DrainedZones is omitted if it is empty, so that the encodings of tables without
+	// drained zones are those of earlier versions, whose digests are compared.
+	DrainedZones []string    `toml:"drained-zones,omitempty" json:"drained-zones,omitempty"`
+	Servers      []serverRow `toml:"servers" json:"servers"`
 }
 
 type serverRow struct {
@@ -57,7 +60,7 @@
 		})
 	}
 	for _, p := range t.Pools {
-		row := poolRow{Name: p.Name}
+		row := poolRow{Name: p.Name, DrainedZones: p.DrainedZones}
 		for _, s := range p.Servers {
 			row.Servers = append(row.Servers, serverRow{
 				Address:     s.Address.String(),
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,14 @@
 	Name string
 	// Servers holds the backend servers, sorted by address.
 	Servers []Server
+	// DrainedZones holds the availability zones, sorted, on whose servers of the
+	// pool no task is started. Tasks that run there end normally.
+	DrainedZones []string
+}
+
+// Drained reports whether no task is started on the pool's servers in zone.
+func (p Pool) Drained(zone string) bool {
+	return slices.Contains(p.DrainedZones, zone)
 }
 
 // A Server is a backend server and its capacity.
