--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -27,6 +27,9 @@
 	effects dispatch.Effects
 	// report is the worker's answer to polls.
 	report dispatch.Report
+	// holdPolls delays the answers to polls, which are collected in heldPolls.
+	holdPolls bool
+	heldPolls []dispatch.Poll
 }
 
 func newScriptedInstance() *scriptedInstance {
@@ -34,6 +37,7 @@
 	s.Instance = dispatch.NewInstance(s.now, dispatch.Config{
 		Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: s.now,
 	})
+	s.SetDrainedZones(s.now, 1, nil)
 	return s
 }
 
@@ -54,7 +58,17 @@
 	s.effects.Starts = append(s.effects.Starts, e.Starts...)
 	s.effects.Stops = append(s.effects.Stops, e.Stops...)
 	s.effects.Polls = append(s.effects.Polls, e.Polls...)
-	for _, poll := range e.Polls {
+	s.effects.Decisions = append(s.effects.Decisions, e.Decisions...)
+	if s.holdPolls {
+		s.heldPolls = append(s.heldPolls, e.Polls...)
+		return
+	}
+	s.answerPolls(e.Polls)
+}
+
+// answerPolls answers polls with the report.
+func (s *scriptedInstance) answerPolls(polls []dispatch.Poll) {
+	for _, poll := range polls {
 		s.report.Incarnation, s.report.Clock = 1, s.now.Sub(s.clockStart)
 		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
 	}
