dispatch: a leader redirects waiting jobs to other zones

With one leader for each zone, a zone with too much work refused jobs while the workers of other zones were unused. A leader now sends its load to the other leaders with its heartbeats, and redirects waiting jobs for which it has never issued a start command: the receiver forwards them to the leader of the other zone, follows the leadership there, and takes them home if that zone has no leader. The other leader sends heartbeats to the receivers, so that runs live only while their receivers confirm them, as before.

--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -10,11 +11,25 @@
 // addJob adds a job that the instance from has forwarded, or reports its end if that
 // is known.
 func (d *dispatcher) addJob(now time.Time, from netip.AddrPort, job Job) {
-	if _, led := d.terms[d.zoneOf(from)]; !led {
-		d.effects.decide("job-rejected", job.ID, "from", from, "zone", d.zoneOf(from))
+	home := d.zoneOf(from)
+	zone := cmp.Or(job.Zone, home)
+	if _, led := d.terms[zone]; !led {
+		d.effects.decide("job-rejected", job.ID, "from", from, "zone", zone)
+		if zone != home {
+			d.reportEnd(now, from, End{ID: job.ID, State: Redirected, Reason: notLeader})
+		}
 		return
 	}
-	if kept := d.ends[job.ID]; kept != nil {
+	if zone != home && from != d.self {
+		d.foreign.forwarded(now, from)
+	}
+	kept := d.ends[job.ID]
+	if kept != nil && kept.end.State == Redirected && job.Zone != "" {
+		// The job has returned.
+		delete(d.ends, job.ID)
+		kept = nil
+	}
+	if kept != nil {
 		kept.receivers = append(kept.receivers, from)
 		d.reportEnd(now, from, kept.end)
 		return
@@ -26,8 +41,12 @@
 			return
 		}
 		j = d.activate(now, job)
+		if zone != home {
+			d.effects.Redirects = append(d.effects.Redirects, Redirect{In: true, Zone: home})
+		}
 	}
-	j.receivers[from] = struct{}{}
+	j.foreign = zone != home && (j.foreign || len(j.receivers) == 0)
+	j.receivers[from] = zone
 	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
 	j.forwardedAgain(job)
 	if !j.suspendedAt.IsZero() {
@@ -138,8 +157,8 @@
 	for _, addr := range kept.receivers {
 		d.reportEnd(now, addr, end)
 	}
-	if end.State == Completed {
-		// The receiver logs the answer to the caller.
+	if end.State == Completed || end.State == Redirected {
+		// The receiver logs the answer to the caller, and redirect the other zone.
 		return
 	}
 	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
--- a/dispatch/codec.go
+++ b/dispatch/codec.go
@@ -20,6 +20,7 @@
 		AgeNanos:      int64(now.Sub(j.Arrived)),
 		PatienceNanos: int64(j.CallerDeadline.Sub(now)),
 		Round:         uint32(j.EarlierLeaders),
+		Zone:          j.Zone,
 	}
 	if j.EarlierLeaders > 0 {
 		out.SettleNanos = int64(j.EarlierRunsEndBy.Sub(now))
@@ -57,6 +58,7 @@
 		CallerDeadline:   now.Add(time.Duration(j.PatienceNanos)),
 		EarlierLeaders:   int(j.Round),
 		EarlierRunsEndBy: now.Add(time.Duration(j.SettleNanos)),
+		Zone:             j.Zone,
 	}
 	for _, s := range j.Steps {
 		step := Step{
@@ -76,11 +78,11 @@
 }
 
 func encodeEnd(e End) *peer.JobEnd {
-	return &peer.JobEnd{Id: e.ID, State: peer.JobState(e.State), Reason: e.Reason, RetryAfterNanos: int64(e.RetryAfter)}
+	return &peer.JobEnd{Id: e.ID, State: peer.JobState(e.State), Reason: e.Reason, RetryAfterNanos: int64(e.RetryAfter), Zone: e.Zone}
 }
 
 func decodeEnd(e *peer.JobEnd) End {
-	return End{ID: e.Id, State: State(e.State), Reason: e.Reason, RetryAfter: time.Duration(e.RetryAfterNanos)}
+	return End{ID: e.Id, State: State(e.State), Reason: e.Reason, RetryAfter: time.Duration(e.RetryAfterNanos), Zone: e.Zone}
 }
 
 func encodeWorker(e *tableEntry) *peer.Worker {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -75,6 +75,15 @@
 	// onForgotten is called with a worker that was removed.
 	onForgotten func(w Worker)
 	pollCount   uint64
+	// loads are the loads of the other zones, and foreign the receivers whose jobs were
+	// redirected to this leader.
+	loads   receivedLoads
+	foreign foreignReceivers
+	// otherLeaders returns the number of other instances that lead a zone.
+	otherLeaders func(now time.Time) int
+	// remoteRackFactor is the factor by which the expected run time of a task grows on a
+	// rack that does not hold its data.
+	remoteRackFactor float64
 }
 
 // keptEnd is the end of a job, kept for receivers that forward the job again.
@@ -98,6 +107,9 @@
 		estimates:       make(estimates),
 		topSpeed:        1,
 		runConfirmation: runConfirmation,
+		foreign:         make(foreignReceivers),
+
+		remoteRackFactor: defaultRemoteRackFactor,
 	}
 }
 
@@ -146,13 +158,13 @@
 	}
 }
 
-// releaseJobsOf withdraws the jobs that instances of zone forwarded. They forward
-// them to the next leader of the zone.
+// releaseJobsOf withdraws the jobs that instances forwarded to the leader of zone. They
+// forward them to the next leader of the zone.
 func (d *dispatcher) releaseJobsOf(now time.Time, zone string) {
 	for _, id := range d.jobIDs() {
 		j := d.jobs[id]
 		for _, addr := range slices.SortedFunc(maps.Keys(j.receivers), netip.AddrPort.Compare) {
-			if d.zoneOf(addr) == zone {
+			if j.receivers[addr] == zone {
 				d.withdraw(now, addr, id)
 			}
 		}
@@ -168,6 +180,7 @@
 	d.running = make(map[TaskID]*worker)
 	d.duplicates = make(map[TaskID][]*worker)
 	d.led, d.pollDue = nil, nil
+	d.loads, d.foreign = receivedLoads{}, make(foreignReceivers)
 	for i, w := range d.sortedWorkers {
 		fresh := newWorker(w.Worker)
 		fresh.speed = w.speed
--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -17,6 +17,8 @@
 	Stops   []Stop
 	// Tables are encoded configurations that peers have sent.
 	Tables [][]byte
+	// Redirects are the jobs that were redirected, to be counted.
+	Redirects []Redirect
 	// Decisions are the lines to log.
 	Decisions []Decision
 }
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -30,14 +31,7 @@
 	if len(env.OperatorTables) > 0 {
 		i.effects.Tables = append(i.effects.Tables, env.OperatorTables)
 	}
-	if i.dispatcher.leading() {
-		for _, j := range env.Jobs {
-			i.dispatcher.addJob(now, from, decodeJob(now, j))
-		}
-		for _, id := range env.Withdrawn {
-			i.dispatcher.withdraw(now, from, id)
-		}
-	}
+	i.receiveJobs(now, from, env)
 	p := i.peer(from)
 	p.withdrawnReceived = max(p.withdrawnReceived, env.WithdrawnThrough)
 	if env.Beat != nil {
@@ -97,6 +91,7 @@
 	reply := i.leadership.Receive(now, from, env.Zone, env.Leaving, env.Beat)
 	i.leadership.SetTableAhead(from, len(env.Beat.Leads) > 0 && p.receivedRevision < p.tableRevision)
 	i.followTerms(now)
+	i.receiveLoads(now, from, env.Beat.Loads)
 	i.requestConfiguration(now, from, p)
 	if env.Beat.TablesWanted && p.version < i.version {
 		i.envelope(from).OperatorTables = i.tables
@@ -158,10 +153,22 @@
 	}
 }
 
-// broadcast sends a heartbeat to the instances that are to receive one now.
+// broadcast sends a heartbeat to the instances that are to receive one now, and with it the
+// load of the own workers to the other leaders.
 func (i *Instance) broadcast(now time.Time, heartbeat *peer.Beat) {
+	leaders := i.otherLeaders(now)
+	var loads []*peer.ZoneLoad
+	if len(leaders) > 0 && i.dispatcher.leading() {
+		loads = append(loads, i.dispatcher.zoneLoad(now))
+	}
+	i.leadership.SetForeignReceivers(slices.Collect(maps.Keys(i.dispatcher.foreign)))
 	for _, addr := range i.leadership.Recipients(now) {
+		var loadsFor []*peer.ZoneLoad
+		if leaders[addr] {
+			loadsFor = loads
+		}
 		i.sendHeartbeat(addr, &peer.Beat{
+			Loads: loadsFor,
 			Leads: heartbeat.Leads, Hears: heartbeat.Hears, Seeking: heartbeat.Seeking, Members: heartbeat.Members,
 			Successor: heartbeat.Successor, Weight: heartbeat.Weight, TableRevision: heartbeat.TableRevision, LeaderPerZone: heartbeat.LeaderPerZone, SentNanos: heartbeat.SentNanos,
 		})
@@ -177,7 +184,7 @@
 	heartbeat.TablesWanted, p.tablesWanted = p.tablesWanted, false
 	env := i.envelope(to)
 	env.Beat = heartbeat
-	if !i.leadership.Leading() {
+	if !i.leadership.Leading() || i.onlyConfirms(to) {
 		return
 	}
 	for _, e := range i.table.changedSince(p.sentRevision) {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -24,6 +24,9 @@
 	// ResubmitDelay is the time after which a caller that got no answer may submit its
 	// job to another instance, or 0 for a default.
 	ResubmitDelay time.Duration
+	// RemoteRackFactor is the factor by which the run time of a task grows on a rack that
+	// does not hold its data, or 0 for a default.
+	RemoteRackFactor float64
 	// Incarnation distinguishes this process from earlier ones at the same address.
 	Incarnation uint64
 	// Wall is the time of day when the process started.
@@ -80,6 +83,10 @@
 	i.dispatcher.workersReadAt = i.WorkersReadAt
 	i.dispatcher.confirmedBy = i.confirmedBy
 	i.dispatcher.mayCommand = i.leadership.MayCommand
+	i.dispatcher.otherLeaders = func(now time.Time) int { return len(i.otherLeaders(now)) }
+	if cfg.RemoteRackFactor > 0 {
+		i.dispatcher.remoteRackFactor = cfg.RemoteRackFactor
+	}
 	i.dispatcher.onForgotten = func(w Worker) { i.table.remove(w.ID, w.Version) }
 	return i
 }
@@ -353,7 +360,7 @@
 			i.dispatcher.setTerm(now, zone, term)
 		}
 	}
-	i.receiver.followLeader(now)
+	i.receiver.followLeaders(now)
 }
 
 // probe asks workers of the zones that may have lost their leader whether an instance
@@ -384,14 +391,3 @@
 	i.leadership.Fenced(now, zone)
 	i.followTerms(now)
 }
-
-// reportEnd reports the end of a job to the instance at to, at which callers of the job
-// wait.
-func (i *Instance) reportEnd(now time.Time, to netip.AddrPort, end End) {
-	if to == i.cfg.Self {
-		i.receiver.jobEnded(now, i.cfg.Self, end)
-		return
-	}
-	env := i.envelope(to)
-	env.JobEnds = append(env.JobEnds, encodeEnd(end))
-}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,10 @@
 	// an earlier leader started is running after EarlierRunsEndBy.
 	EarlierLeaders   int
 	EarlierRunsEndBy time.Time
+	// Zone is the availability zone to whose leader the job is forwarded after it was
+	// redirected, or the receiver's zone once the job has returned. It is empty until the
+	// job is redirected.
+	Zone string
 }
 
 // notServed returns the end of a job of which this leader has started no task. It is
@@ -95,8 +99,8 @@
 	return s.Millicores <= r.Millicores && s.Memory <= r.Memory && s.Accelerators <= r.Accelerators
 }
 
-// A State is the state of a job that its leader reports: a final state, or
-// ForwardAgain.
+// A State is the state of a job that its leader reports: a final state, ForwardAgain or
+// Redirected.
 type State int
 
 // The states that a leader reports.
@@ -114,6 +118,10 @@
 	NotRun
 	// Overdue means that the job was given up after a task may have been started.
 	Overdue
+	// Redirected is not a final state: the leader has started no task of the job and
+	// will start none. The receiver forwards the job to the leader of End.Zone or, if
+	// that is empty, back to the leader of its own zone.
+	Redirected
 )
 
 // String returns the name of s.
@@ -129,12 +137,14 @@
 		return "not-run"
 	case Overdue:
 		return "overdue"
+	case Redirected:
+		return "redirected"
 	default:
 		return "unknown"
 	}
 }
 
-// An End is the final state of a job, or ForwardAgain.
+// An End is the final state of a job, ForwardAgain or Redirected.
 type End struct {
 	ID    string
 	State State
@@ -143,6 +153,8 @@
 	// RetryAfter is the time after which a job that was not run may be submitted
 	// again.
 	RetryAfter time.Duration
+	// Zone is the availability zone to which a job is redirected.
+	Zone string
 }
 
 // A TaskID identifies a task of a job.
@@ -178,7 +190,12 @@
 // activeJob is the state of a job at its leader.
 type activeJob struct {
 	Job
-	receivers map[netip.AddrPort]struct{}
+	// receivers are the receivers of the job, each with the zone to whose leader it has
+	// forwarded the job.
+	receivers map[netip.AddrPort]string
+	// foreign is set if the job was redirected from another zone and no receiver of this
+	// one has it.
+	foreign bool
 	// confirmedAt is the latest time at which a former receiver is known to have waited
 	// for the job, or zero.
 	confirmedAt time.Time
@@ -238,7 +255,7 @@
 // newActiveJob returns an active job for j. The tasks of steps without predecessors
 // are waiting.
 func newActiveJob(j Job) *activeJob {
-	a := &activeJob{Job: j, receivers: make(map[netip.AddrPort]struct{})}
+	a := &activeJob{Job: j, receivers: make(map[netip.AddrPort]string)}
 	for s, step := range j.Steps {
 		tasks := make([]*task, step.Tasks)
 		for i := range tasks {
--- /dev/null
+++ b/dispatch/loads.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+const (
+	// maxLoadAge is the age from which on a received load is not used: three heartbeats
+	// of its sender were lost or late.
+	maxLoadAge = 300 * time.Millisecond
+	// unseenTime is the time before the receipt of a load within which jobs that were
+	// redirected may not be contained in it yet.
+	unseenTime = 30 * time.Millisecond
+	// proportionTime is the time over which a leader without workers divides its jobs
+	// among the other zones.
+	proportionTime = time.Second
+	// maxLoadPools bounds the pools in the load of a zone. Each takes some 20 bytes of
+	// each heartbeat to another leader.
+	maxLoadPools = 16
+)
+
+// poolRoom is the load of one pool as the leader of another zone has sent it.
+type poolRoom struct {
+	capacity, free int
+	wait           time.Duration
+}
+
+// receivedLoad is the last load that the leader of a zone has sent.
+type receivedLoad struct {
+	at    time.Time
+	pools map[string]poolRoom
+}
+
+// redirectedWork is the capacity that a redirected job needs.
+type redirectedWork struct {
+	at         time.Time
+	zone, pool string
+	millicores int
+}
+
+// receivedLoads are the loads of the other zones, and what this leader has redirected to
+// them since.
+type receivedLoads struct {
+	zones map[string]receivedLoad
+	// redirected are the latest redirected jobs, in the order of their times.
+	redirected []redirectedWork
+}
+
+// receive records a load of a zone that its leader has sent.
+func (l *receivedLoads) receive(now time.Time, load *peer.ZoneLoad) {
+	if l.zones == nil {
+		l.zones = make(map[string]receivedLoad)
+	}
+	pools := make(map[string]poolRoom, len(load.Pools))
+	for _, p := range load.Pools {
+		pools[p.Pool] = poolRoom{capacity: int(p.Millicores), free: int(p.FreeMillicores), wait: time.Duration(p.WaitNanos)}
+	}
+	l.zones[load.Zone] = receivedLoad{at: now, pools: pools}
+}
+
+// room returns the load of a pool in a zone and its age, unless it is too old.
+func (l *receivedLoads) room(now time.Time, zone, pool string) (poolRoom, time.Duration, bool) {
+	load, known := l.zones[zone]
+	age := now.Sub(load.at)
+	if !known || age > maxLoadAge {
+		return poolRoom{}, age, false
+	}
+	room, known := load.pools[pool]
+	return room, age, known
+}
+
+// record records that a job was redirected.
+func (l *receivedLoads) record(now time.Time, zone, pool string, millicores int) {
+	l.redirected = slices.DeleteFunc(l.redirected, func(r redirectedWork) bool { return now.Sub(r.at) > proportionTime })
+	l.redirected = append(l.redirected, redirectedWork{at: now, zone: zone, pool: pool, millicores: millicores})
+}
+
+// redirectedSince returns the capacity that the jobs of a pool need that were redirected
+// after a time to a zone or, if zone is empty, to any zone.
+func (l *receivedLoads) redirectedSince(since time.Time, zone, pool string) int {
+	sum := 0
+	for _, r := range l.redirected {
+		if r.pool == pool && (zone == "" || r.zone == zone) && r.at.After(since) {
+			sum += r.millicores
+		}
+	}
+	return sum
+}
+
+// offers returns what the other zones have for the jobs of a pool, by loads that are not too
+// old. The argument others is the number of leaders that share the free capacity of a zone.
+func (l *receivedLoads) offers(now time.Time, pool string, others int) []redirectOffer {
+	var offers []redirectOffer
+	for zone := range l.zones {
+		room, age, ok := l.room(now, zone, pool)
+		if !ok || others == 0 {
+			continue
+		}
+		sent := l.redirectedSince(now.Add(-age-unseenTime), zone, pool)
+		offers = append(offers, redirectOffer{
+			zone: zone, capacity: room.capacity, budget: room.free/others - sent,
+			sent: l.redirectedSince(now.Add(-proportionTime), zone, pool), wait: room.wait, age: age,
+		})
+	}
+	slices.SortFunc(offers, func(a, b redirectOffer) int { return cmp.Compare(a.zone, b.zone) })
+	return offers
+}
+
+// zoneLoad returns the load of the workers that this instance, which leads a zone, commands,
+// for the leaders of other zones.
+func (d *dispatcher) zoneLoad(now time.Time) *peer.ZoneLoad {
+	load := &peer.ZoneLoad{Zone: d.ledZones()[0]}
+	for _, pool := range d.pools() {
+		own := d.poolLoad(now, pool)
+		if own.capacity == 0 {
+			continue
+		}
+		load.Pools = append(load.Pools, &peer.PoolRoom{
+			Pool: pool, Millicores: uint32(own.capacity), FreeMillicores: uint32(d.offered(now, pool, own)),
+			WaitingMillicores: uint32(own.waiting), WaitNanos: int64(own.wait(maxUrgency)),
+		})
+	}
+	return load
+}
+
+// offered returns the capacity that other leaders may use. A zone that redirects jobs offers
+// none: otherwise two zones could redirect jobs to each other.
+func (d *dispatcher) offered(now time.Time, pool string, own poolLoad) int {
+	if d.loads.redirectedSince(now.Add(-maxLoadAge), "", pool) > 0 {
+		return 0
+	}
+	return max(0, own.free-own.waiting)
+}
+
+// pools returns the names of the pools of the workers that this instance commands, in order,
+// and at most maxLoadPools of them.
+func (d *dispatcher) pools() []string {
+	var pools []string
+	for _, w := range d.ledWorkers() {
+		if n, known := slices.BinarySearch(pools, w.Pool); !known {
+			pools = slices.Insert(pools, n, w.Pool)
+		}
+	}
+	return pools[:min(len(pools), maxLoadPools)]
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -14,9 +14,9 @@
 	// maxUnplacedJobs is the number of jobs without a suitable worker after which the
 	// rest of the queue is skipped.
 	maxUnplacedJobs = 48
-	// remoteRackFactor is the factor by which the expected run time of a task grows
-	// on a rack that does not hold its data.
-	remoteRackFactor = 2
+	// defaultRemoteRackFactor is the factor by which the expected run time of a task
+	// grows on a rack that does not hold its data, unless the Config sets another one.
+	defaultRemoteRackFactor = 2
 )
 
 // place starts as many waiting tasks as the free resources allow.
@@ -102,8 +102,12 @@
 	}
 }
 
-// giveUp ends a job that this leader does not serve.
+// giveUp redirects a job that this leader does not serve to another zone that can, or ends
+// it.
 func (d *dispatcher) giveUp(now time.Time, j *activeJob, reason string) {
+	if d.redirectRefused(now, j) {
+		return
+	}
 	d.endJob(now, j, j.notServed(reason))
 }
 
@@ -175,7 +179,7 @@
 		}
 		runTime := w.runTime(expected)
 		if step.Rack != "" && step.Rack != w.Rack {
-			runTime *= remoteRackFactor
+			runTime = time.Duration(float64(runTime) * d.remoteRackFactor)
 		}
 		if !t.job.late && now.Add(runTime).After(t.job.objective) {
 			continue
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -6,8 +6,8 @@
 )
 
 // queue holds the jobs with waiting tasks, in the order in which they get resources:
-// jobs that can still meet their objective first, then by urgency, then jobs that
-// have started, then by the expected processor time.
+// jobs that can still meet their objective first, then by urgency, then those of the
+// leader's own zones, then jobs that have started, then by the expected processor time.
 type queue struct {
 	jobs []*activeJob
 	// stale is set when the order of the jobs may have changed.
@@ -47,6 +47,7 @@
 	return cmp.Or(
 		compareBool(a.late, b.late),
 		cmp.Compare(a.Urgency, b.Urgency),
+		compareBool(a.foreign, b.foreign),
 		compareBool(!a.started, !b.started),
 		cmp.Compare(a.work, b.work),
 		cmp.Compare(a.ID, b.ID),
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -43,12 +43,21 @@
 		if sim.now.After(end) {
 			return
 		}
-		sim.submit(sim.random.IntN(len(simulationZones)))
+		sim.submit(sim.randomZone())
 		sim.after(time.Duration(sim.random.Int64N(int64(2*arrivalGap))), next)
 	}
 	sim.after(0, next)
 }
 
+// randomZone returns the zone of the next job. If each zone has a leader of its own, half
+// of the jobs arrive in the first one: more than its workers can run.
+func (sim *simulation) randomZone() int {
+	if sim.apart && sim.random.IntN(2) == 0 {
+		return 0
+	}
+	return sim.random.IntN(len(simulationZones))
+}
+
 // injectFault injects a random fault, and ends it after a while.
 func (sim *simulation) injectFault() {
 	n := sim.instances[sim.random.IntN(len(sim.instances))]
@@ -243,4 +252,8 @@
 		}
 	}
 	is.Equal(sim.violations, nil)
+	if sim.apart {
+		is.True(sim.redirected > 0) // jobs were redirected
+		is.True(sim.acceptedFromOthers > 0)
+	}
 }
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -5,23 +5,21 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // receiver keeps the jobs whose callers wait at this instance, and forwards each job
-// to the leader of the zone.
+// to the leader of the zone or, if that leader redirects the job, of another zone.
 type receiver struct {
 	instance *Instance
 	open     map[string]*openJob
 	callers  map[CallerID]string
-	// leader is the claim of the leader to which jobs are forwarded, or zero.
-	leader peer.Claim
-	// formerLastSeen is when something was last received from the lost leader, or
-	// zero.
-	formerLastSeen time.Time
-	// leaderlessSince is since when there has been no leader, or zero.
-	leaderlessSince time.Time
+	// zones are the zones whose leaders are followed: the home zone, which is that of this
+	// instance, and those to which open jobs are redirected.
+	zones map[string]*followedZone
+	home  *followedZone
+	// unreachableUntil is, for a zone of which no leader was reached, the time until which
+	// no job is redirected there.
+	unreachableUntil map[string]time.Time
 	// closed is set if new jobs are refused.
 	closed bool
 	// settledAt is the time, after a pause of the process, from which jobs are forwarded
@@ -36,6 +34,10 @@
 type openJob struct {
 	job     Job
 	callers []CallerID
+	// zone is the zone to whose leader the job is forwarded, and forwards the number of
+	// times that it was forwarded there.
+	zone     *followedZone
+	forwards int
 	// forwarded is set if the job was forwarded to the present leader.
 	forwarded bool
 	// everForwarded is set if the job was forwarded to any leader.
@@ -46,11 +48,15 @@
 }
 
 func newReceiver(now time.Time, i *Instance) *receiver {
+	home := &followedZone{name: i.cfg.Zone}
 	return &receiver{
-		instance:  i,
-		open:      make(map[string]*openJob),
-		callers:   make(map[CallerID]string),
-		withdrawn: uint64(now.UnixNano()),
+		instance:         i,
+		open:             make(map[string]*openJob),
+		callers:          make(map[CallerID]string),
+		zones:            map[string]*followedZone{home.name: home},
+		home:             home,
+		unreachableUntil: make(map[string]time.Time),
+		withdrawn:        uint64(now.UnixNano()),
 	}
 }
 
@@ -63,12 +69,12 @@
 			r.instance.effects.decide("job-not-run", job.ID, "request", job.Request, "route", job.Route, "reason", reason)
 			return
 		}
-		o = &openJob{job: job}
+		o = &openJob{job: job, zone: r.home}
 		r.open[job.ID] = o
 	}
 	r.instance.effects.routine("job-accepted", job.ID, "request", job.Request, "route", job.Route,
 		"tables", r.instance.version, "tables-read", SinceOrNever(now, r.instance.tablesReadAt),
-		"patience", job.CallerDeadline.Sub(now), "leader", r.leader.Leader, "term", r.leader.Term, "again", len(o.callers) > 0)
+		"patience", job.CallerDeadline.Sub(now), "leader", o.zone.leader.Leader, "term", o.zone.leader.Term, "again", len(o.callers) > 0)
 	o.job.CallerDeadline = later(o.job.CallerDeadline, job.CallerDeadline)
 	o.callers = append(o.callers, caller)
 	r.callers[caller] = job.ID
@@ -82,20 +88,22 @@
 		return "leaving"
 	case len(r.open) >= maxJobs:
 		return "too-many-jobs"
-	case !r.leaderlessSince.IsZero() && now.Sub(r.leaderlessSince) > noLeaderTimeout:
+	case r.home.leaderless(now, noLeaderTimeout):
 		return "no-leader"
 	default:
 		return ""
 	}
 }
 
-// forward forwards a job to the leader, if there is one and it does not have the job.
+// forward forwards a job to the leader of its zone, if there is one and it does not have the
+// job.
 func (r *receiver) forward(now time.Time, o *openJob) {
-	if o.forwarded || now.Before(r.settledAt) || !r.leader.Leader.IsValid() || !r.leaderlessSince.IsZero() {
+	if o.forwarded || now.Before(r.settledAt) || !o.zone.leader.Leader.IsValid() || !o.zone.leaderlessSince.IsZero() {
 		return
 	}
 	o.forwarded, o.everForwarded = true, true
-	i, leader := r.instance, r.leader.Leader
+	o.forwards++
+	i, leader := r.instance, o.zone.leader.Leader
 	if !slices.Contains(o.leaders, leader) {
 		o.leaders = append(o.leaders, leader)
 	}
@@ -119,50 +127,11 @@
 	r.forward(now, o)
 }
 
-// followLeader determines the present leader, and forwards all jobs to a new one.
-func (r *receiver) followLeader(now time.Time) {
-	i := r.instance
-	claim, fresh := i.leadership.Claim(now, i.cfg.Zone)
-	if !fresh || !claim.Leader.IsValid() {
-		if r.leaderlessSince.IsZero() {
-			r.leaderlessSince = now
-			r.formerLastSeen = claim.LastSeen
-			i.effects.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", SinceOrNever(now, claim.LastSeen))
-		}
-		if claim.Term != r.leader.Term {
-			r.leader = peer.Claim{}
-		}
-		return
-	}
-	r.leaderlessSince = time.Time{}
-	if claim.Leader == r.leader.Leader && claim.Term == r.leader.Term {
-		r.formerLastSeen = time.Time{}
-		return
-	}
-	r.leader = claim
-	i.effects.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
-	earlierRunsEndBy := later(r.formerLastSeen, now).Add(earlierRunsTimeout)
-	if !r.formerLastSeen.IsZero() {
-		earlierRunsEndBy = r.formerLastSeen.Add(earlierRunsTimeout)
-	}
-	r.formerLastSeen = time.Time{}
-	for _, id := range r.ids() {
-		o := r.open[id]
-		if o.everForwarded {
-			r.withdrawFromFormer(now, o)
-			o.job.EarlierLeaders++
-			o.job.EarlierRunsEndBy = earlierRunsEndBy
-		}
-		o.forwarded = false
-		r.forward(now, o)
-	}
-}
-
 // withdrawFromFormer withdraws a job from all instances but the present leader, which has
 // it now.
 func (r *receiver) withdrawFromFormer(now time.Time, o *openJob) {
 	for _, addr := range o.leaders {
-		if addr != r.leader.Leader {
+		if addr != o.zone.leader.Leader {
 			r.withdrawFrom(now, addr, o.job.ID)
 		}
 	}
@@ -195,17 +164,17 @@
 }
 
 // linkReset forwards the jobs again that may have been lost on the link to the
-// leader.
+// leader at addr.
 func (r *receiver) linkReset(now time.Time, addr netip.AddrPort) {
-	if r.leader.Leader != addr {
-		return
-	}
 	for _, id := range r.ids() {
-		r.forwardAgain(now, r.open[id])
+		if o := r.open[id]; o != nil && o.zone.leader.Leader == addr {
+			r.forwardAgain(now, o)
+		}
 	}
 }
 
-// jobEnded answers the callers of a job that has ended, or forwards the job again.
+// jobEnded answers the callers of a job that has ended, or forwards the job again, to the
+// same leader or to another zone.
 func (r *receiver) jobEnded(now time.Time, from netip.AddrPort, end End) {
 	o := r.open[end.ID]
 	if o == nil {
@@ -215,8 +184,13 @@
 		}
 		return
 	}
-	current := from == r.leader.Leader
+	current := from == o.zone.leader.Leader
 	switch {
+	case end.State == Redirected:
+		if current {
+			r.redirected(now, from, o, end)
+		}
+		return
 	case end.State == ForwardAgain:
 		if current {
 			r.forwardAgain(now, o)
@@ -309,6 +283,7 @@
 // tick ends the jobs whose caller deadlines have passed, and forwards those that could not
 // be forwarded before.
 func (r *receiver) tick(now time.Time) {
+	r.checkZones(now)
 	for _, id := range r.ids() {
 		if !now.Before(r.open[id].job.CallerDeadline) {
 			r.answerUnfinished(now, id, "time-out")
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -141,6 +141,13 @@
 	for _, d := range e.Decisions {
 		n.simulation.note("%v %s %s %v", n.address, d.Event, d.Subject, d.Fields)
 	}
+	for _, r := range e.Redirects {
+		if r.In {
+			n.simulation.acceptedFromOthers++
+		} else {
+			n.simulation.redirected++
+		}
+	}
 	for _, s := range e.Starts {
 		n.sendCommand(incarnation, s.Command, func(w *fakeWorker) dispatch.Outcome { return w.start(s) },
 			func(o dispatch.Outcome, clock time.Duration) { n.instance.StartDone(n.simulation.now, s, o, clock) })
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -75,6 +75,9 @@
 	// tablesSent counts the configurations that were sent to each instance.
 	tablesSent map[netip.AddrPort]int
 	violations []string
+	// redirected and acceptedFromOthers count the jobs that leaders have redirected and
+	// those that the leaders of other zones have accepted.
+	redirected, acceptedFromOthers int
 	simulationConfig
 	trace []string
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -16,6 +16,8 @@
 	}
 	d.checkWorkers(now)
 	d.checkJobs(now, leadership)
+	d.redirectWaiting(now)
+	d.foreign.update(now, d.jobs)
 	d.normalizeSpeeds()
 	d.topSpeed = d.fastSpeed(now)
 	d.pollAny = true
@@ -64,7 +66,7 @@
 func (d *dispatcher) liveReceivers(now time.Time, j *activeJob, leadership *peer.Leadership) []netip.AddrPort {
 	var live []netip.AddrPort
 	for addr := range j.receivers {
-		if now.Sub(leadership.LastSeen(now, addr)) < receiverTimeout {
+		if now.Sub(later(leadership.LastSeen(now, addr), d.foreign.lastForwarded(addr))) < receiverTimeout {
 			live = append(live, addr)
 		}
 	}
--- a/peer/confirmation.go
+++ b/peer/confirmation.go
@@ -32,11 +32,15 @@
 		return time.Time{}, time.Time{}
 	}
 	confirmedAt, alone := c.LastSeen, true
-	for _, m := range l.members {
+	for addr, m := range l.members {
 		if zone != l.cfg.Zone && m.zone != zone {
 			continue
 		}
 		alone = false
+		if l.foreignReceivers[addr] && m.zone != zone && len(m.leads) == 0 {
+			// An instance that looks for a leader of zone does not query it.
+			continue
+		}
 		if m.confirmedAt.After(confirmedAt) {
 			confirmedAt = m.confirmedAt
 		}
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -146,6 +146,9 @@
 	leadingSince  time.Time
 	leaving       bool
 	leaderPerZone bool
+	// foreignReceivers are the instances of other zones whose jobs were redirected
+	// to this leader.
+	foreignReceivers map[netip.AddrPort]bool
 	// tableRevision is the newest revision of this instance's worker table. It
 	// is 0 if the table is empty.
 	tableRevision uint64
@@ -323,6 +326,15 @@
 // successor.
 func (l *Leadership) Leave() { l.leaving = true }
 
+// SetForeignReceivers sets the instances of other zones whose jobs were
+// redirected to this leader. They receive its heartbeats.
+func (l *Leadership) SetForeignReceivers(addrs []netip.AddrPort) {
+	l.foreignReceivers = make(map[netip.AddrPort]bool, len(addrs))
+	for _, addr := range addrs {
+		l.foreignReceivers[addr] = true
+	}
+}
+
 // SetLeaderPerZone sets whether each zone is to have a leader of its own,
 // because one instance could not lead all zones.
 func (l *Leadership) SetLeaderPerZone(enabled bool) { l.leaderPerZone = enabled }
--- a/peer/recipients.go
+++ b/peer/recipients.go
@@ -14,8 +14,8 @@
 // If one instance leads all zones, these are all. Otherwise the heartbeats of all leaders
 // together would load every instance with the size of the whole system. A leader then
 // sends its heartbeats to the instances of its own zone and of the zones that it leads, to
-// the other leaders and, less often, to the instances of a zone of which it knows no live
-// leader. An instance that looks for a leader queries its zone and a few others.
+// the other leaders, to the receivers of jobs that were redirected to it and, less often, to
+// the instances of a zone of which it knows no live leader. An instance that looks for a leader queries its zone and a few others.
 func (l *Leadership) Recipients(now time.Time) []netip.AddrPort {
 	all := l.Members()
 	if !l.leaderPerZone {
@@ -44,7 +44,7 @@
 	for _, addr := range all {
 		zone := l.members[addr].zone
 		switch {
-		case near[zone], leaders[addr], remote && unled[zone]:
+		case near[zone], leaders[addr], l.foreignReceivers[addr], remote && unled[zone]:
 			to = append(to, addr)
 		default:
 			others = append(others, addr)
