--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -102,7 +103,8 @@
 		Unfenced:    cfg.Node.Unfenced,
 		Wall:        time.Now(),
 
-		ResubmitDelay: cfg.Node.ResubmitDelay,
+		ResubmitDelay:    cfg.Node.ResubmitDelay,
+		RemoteRackFactor: cfg.Node.RemoteRackFactor,
 	})
 	go func() {
 		defer close(l.stopped)
@@ -188,11 +190,25 @@
 	for _, tables := range effects.Tables {
 		go l.cfg.Tables(tables)
 	}
+	for _, r := range effects.Redirects {
+		l.countRedirect(r)
+	}
 	for _, d := range effects.Decisions {
 		l.decisions.write(now, d)
 	}
 }
 
+// countRedirect counts a redirected job. There is one series for each other zone and, of the
+// jobs that left, for each reason.
+func (l *dispatchLoop) countRedirect(r dispatch.Redirect) {
+	direction := "out"
+	if r.In {
+		direction = "in"
+	}
+	name := fmt.Sprintf("amaranthwell_redirected_jobs_total{direction=%q,zone=%q,reason=%q}", direction, r.Zone, r.Reason)
+	l.cfg.Metrics.GetOrCreateCounter(name).Inc()
+}
+
 // Run submits a job to the instance, waits for its end and returns its final state. If
 // ctx ends first, the job is abandoned and the error of ctx is returned. If the control
 // goroutine has stopped, the state is Overdue.
--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -43,6 +43,7 @@
 		j = d.activate(now, job)
 		if zone != home {
 			d.effects.Redirects = append(d.effects.Redirects, Redirect{In: true, Zone: home})
+			d.effects.routine("job-redirect-accepted", job.ID, "from", home, "to", zone, "receiver", from, "round", job.EarlierLeaders)
 		}
 	}
 	j.foreign = zone != home && (j.foreign || len(j.receivers) == 0)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -84,6 +84,9 @@
 	// remoteRackFactor is the factor by which the expected run time of a task grows on a
 	// rack that does not hold its data.
 	remoteRackFactor float64
+	// waitingAhead is set while place considers a job behind another one of which a task
+	// has found no worker.
+	waitingAhead bool
 }
 
 // keptEnd is the end of a job, kept for receivers that forward the job again.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -28,6 +28,7 @@
 		return
 	}
 	d.findOpenWorkers(now)
+	d.waitingAhead = false
 	unplaced := 0
 	for _, j := range d.queue.jobs {
 		if !d.startable(now, j) {
@@ -35,6 +36,7 @@
 		}
 		if !d.placeJob(now, j) {
 			unplaced++
+			d.waitingAhead = true
 		}
 		if unplaced > maxUnplacedJobs {
 			break
@@ -173,22 +175,24 @@
 	expected := d.estimates.expectedRunTime(t.job.Route, step.Estimate)
 	var best *worker
 	var bestScore score
+	var bestTime time.Duration
 	for _, w := range d.open {
 		if w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
 			continue
 		}
-		runTime := w.runTime(expected)
-		if step.Rack != "" && step.Rack != w.Rack {
-			runTime = time.Duration(float64(runTime) * d.remoteRackFactor)
-		}
+		runTime := d.runTimeOn(w, step, expected)
 		if !t.job.late && now.Add(runTime).After(t.job.objective) {
+			// A faster worker may still end the task in time.
 			continue
 		}
 		s := score{class: speedClass(expected, runTime), wasted: d.wasted(w, step.Needs)}
 		if best == nil || s.less(bestScore) {
-			best, bestScore = w, s
+			best, bestScore, bestTime = w, s, runTime
 		}
 	}
+	if best != nil && t.job.late && d.fasterSoon(now, t, expected, bestTime) {
+		return nil
+	}
 	return best
 }
 
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -78,6 +78,8 @@
 	// redirected and acceptedFromOthers count the jobs that leaders have redirected and
 	// those that the leaders of other zones have accepted.
 	redirected, acceptedFromOthers int
+	// startedInZone counts the starts on the workers of each zone, unless it is nil.
+	startedInZone map[string]int
 	simulationConfig
 	trace []string
 }
@@ -182,6 +184,9 @@
 			sim.violate("%v run %d starts on %s while run %d is running on %s", s.Task, s.Number, on.entry.ID, r.number, other.entry.ID)
 		}
 	}
+	if sim.startedInZone != nil {
+		sim.startedInZone[on.entry.Zone]++
+	}
 	if j := sim.jobs[s.Task.Job]; j != nil {
 		j.started = true
 	}
