--- a/dispatch/redirect_test.go
+++ b/dispatch/redirect_test.go
@@ -132,3 +132,29 @@
 	drained := redirectDecision{home: "a", homeless: true, offers: []redirectOffer{{zone: "b"}, {zone: "c"}}}
 	is.Equal(len(drained.choose(jobs)), 0) // no other zone has capacity
 }
+
+// TestOnlyJobsThatNeverStartedAreRedirected guards against a redirected job of which a run may
+// be running in its own zone, and against one that is redirected from zone to zone.
+func TestOnlyJobsThatNeverStartedAreRedirected(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	d := newZone(now)
+	is.True(d.redirectable(d.zoneTask(now, "1", "").job))
+
+	redirected := d.zoneTask(now, "2", "").job
+	redirected.Zone = "a"
+	is.True(!d.redirectable(redirected))
+
+	hadLeader := d.zoneTask(now, "3", "").job
+	hadLeader.EarlierLeaders = 1
+	is.True(!d.redirectable(hadLeader))
+
+	started := d.zoneTask(now, "4", "")
+	d.start(now, d.workers["w-fast"], started)
+	again := d.zoneTask(now, "4", "").job // forwarded again after the first one was dropped
+	is.True(!d.redirectable(again))
+
+	d.removeRun(d.workers["w-fast"], d.workers["w-fast"].runs[started.id])
+	started.job.requeue(started)
+	is.True(!d.redirectable(started.job))
+}
--- a/peer/confirmation_test.go
+++ b/peer/confirmation_test.go
@@ -41,3 +41,22 @@
 	l.Expire(now)
 	is.True(!l.Leading())
 }
+
+// TestReceiverOfRedirectedJobsDoesNotProlongLeadership has only the receiver of a redirected
+// job, in another zone, answer a leader of unfenced workers. An instance that is to replace
+// the leader does not query that receiver, so its answers must not count.
+func TestReceiverOfRedirectedJobsDoesNotProlongLeadership(t *testing.T) {
+	is := is.New(t)
+	now := leadershipStart
+	foreign := netip.MustParseAddrPort("10.0.0.2:70")
+	l := NewLeadership(now, LeadershipConfig{
+		Self: netip.MustParseAddrPort("10.0.0.1:70"), Zone: "hr-north-a", Zones: leadershipZones, Unfenced: true, Wall: now,
+	})
+	l.AddMember(now, foreign, "hr-north-b")
+	l.claim(now, "hr-north-a")
+	l.SetForeignReceivers([]netip.AddrPort{foreign})
+	now = now.Add(confirmationLease - 50*time.Millisecond)
+	l.Receive(now, foreign, "hr-north-b", false, &Beat{Reply: true, EchoNanos: now.UnixNano()})
+	l.Expire(now.Add(100 * time.Millisecond))
+	is.True(!l.Leading())
+}
--- a/peer/recipients_test.go
+++ b/peer/recipients_test.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,3 +66,18 @@
 	// At most as many as if each instance of the zone had queried it once.
 	is.True(total-beats*len(c.order)*2 < perZone*perZone)
 }
+
+// TestReceiversOfRedirectedJobsGetHeartbeats guards the confirmation of runs whose receiver is
+// in another zone.
+func TestReceiversOfRedirectedJobsGetHeartbeats(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCluster(3)
+	is.Equal(c.leaders()[:3], []int{1, 1, 0})
+	foreign := c.order[5] // in the zone of the second leader
+	leader := c.members[c.order[0]]
+	is.True(!slices.Contains(leader.Recipients(c.now), foreign))
+	leader.SetForeignReceivers([]netip.AddrPort{foreign})
+	is.True(slices.Contains(leader.Recipients(c.now), foreign))
+	leader.SetForeignReceivers(nil)
+	is.True(!slices.Contains(leader.Recipients(c.now), foreign))
+}
