--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -201,11 +201,10 @@
 // countRedirect counts a redirected job. There is one series for each other zone and, of the
 // jobs that left, for each reason.
 func (l *dispatchLoop) countRedirect(r dispatch.Redirect) {
-	direction := "out"
+	name := fmt.Sprintf("amaranthwell_redirected_jobs_total{direction=\"out\",zone=%q,reason=%q}", r.Zone, r.Reason)
 	if r.In {
-		direction = "in"
+		name = fmt.Sprintf("amaranthwell_redirected_jobs_total{direction=\"in\",zone=%q}", r.Zone)
 	}
-	name := fmt.Sprintf("amaranthwell_redirected_jobs_total{direction=%q,zone=%q,reason=%q}", direction, r.Zone, r.Reason)
 	l.cfg.Metrics.GetOrCreateCounter(name).Inc()
 }
 
--- a/cmd/amaranthwell/explain_test.go
+++ b/cmd/amaranthwell/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -55,3 +56,35 @@
 	is.Equal(run([]string{"explain", "ffffffffffffffff", filepath.Join(dir, "none")}, env), exitUsage)
 	is.Equal(run([]string{"explain"}, env), exitUsage)
 }
+
+// TestExplainFollowsARedirectedJob guards the lines about a job that was redirected: those of
+// the receiver and of the leaders of both zones, and the loss of the second leader.
+func TestExplainFollowsARedirectedJob(t *testing.T) {
+	is := is.New(t)
+	lines := func(text string) []logEntry {
+		entries, err := parseLog(strings.NewReader(text))
+		is.NoErr(err)
+		return entries
+	}
+	const id = "4591c4dd2d221791"
+	receiver := lines(`time=2026-09-14T10:04:08.40Z instance=a-2 event=job-accepted id=4591c4dd2d221791 request=q1 leader=10.1.0.7:70
+time=2026-09-14T10:04:08.90Z instance=a-2 event=leader-lost id=b leader=10.2.0.7:70 heard=450ms
+time=2026-09-14T10:04:10.40Z instance=a-2 event=job-redirect-returned id=4591c4dd2d221791 from=b to=a reason=no-leader
+time=2026-09-14T10:04:10.70Z instance=a-2 event=job-answered id=4591c4dd2d221791 state=completed
+`)
+	home := lines(`time=2026-09-14T10:04:08.42Z instance=a-1 event=job-redirected id=4591c4dd2d221791 from=a to=b reason=later-start
+time=2026-09-14T10:04:10.41Z instance=a-1 event=tasks-started id=4591c4dd2d221791 runs=0.0#65@w-1
+`)
+	other := lines(`time=2026-09-14T10:04:08.43Z instance=b-1 event=job-redirect-accepted id=4591c4dd2d221791 from=a to=b
+time=2026-09-14T10:04:08.44Z instance=b-1 event=tasks-started id=4591c4dd2d221791 runs=0.0#1@w-9
+time=2026-09-14T10:04:08.45Z instance=b-1 event=ended id=b-1
+`)
+	var events []string
+	for _, e := range explain(id, slices.Concat(receiver, home, other)) {
+		events = append(events, e.event)
+	}
+	is.Equal(events, []string{
+		"job-accepted", "job-redirected", "job-redirect-accepted", "tasks-started", "ended", "leader-lost",
+		"job-redirect-returned", "tasks-started", "job-answered",
+	})
+}
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -30,12 +30,9 @@
 		if j.Pool != pool {
 			continue
 		}
-		for _, t := range j.waiting {
-			step := j.Steps[t.id.Step]
-			load.waiting += step.Needs.Millicores
-			run := d.estimates.expectedRunTime(j.Route, step.Estimate)
-			load.work[j.Urgency] += run.Seconds() * float64(step.Needs.Millicores) / 1000
-		}
+		work, millicores := d.waitingWork(j)
+		load.waiting += millicores
+		load.work[j.Urgency] += work
 	}
 	return load
 }
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -128,8 +128,12 @@
 }
 
 // offered returns the capacity that other leaders may use. A zone that redirects jobs offers
-// none: otherwise two zones could redirect jobs to each other.
+// none: otherwise two zones could redirect jobs to each other. A new leader offers none
+// either, because it cannot start tasks on all workers yet.
 func (d *dispatcher) offered(now time.Time, pool string, own poolLoad) int {
+	if !d.settled(now) {
+		return 0
+	}
 	if d.loads.redirectedSince(now.Add(-maxLoadAge), "", pool) > 0 {
 		return 0
 	}
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -51,6 +51,9 @@
 		}
 	}
 	for _, pool := range pools {
+		if len(d.loads.offers(now, pool, 1)) == 0 {
+			continue
+		}
 		load := d.poolLoad(now, pool)
 		r := d.redirectDecision(now, pool, load)
 		if len(r.offers) == 0 {
@@ -113,11 +116,16 @@
 // waitingWork returns the expected processor time of the waiting tasks of j in core-seconds,
 // and the capacity that they need in thousandths of a core.
 func (d *dispatcher) waitingWork(j *activeJob) (work float64, millicores int) {
+	step, perTask := -1, 0.0
 	for _, t := range j.waiting {
-		step := j.Steps[t.id.Step]
-		run := d.estimates.expectedRunTime(j.Route, step.Estimate)
-		work += run.Seconds() * float64(step.Needs.Millicores) / 1000
-		millicores += step.Needs.Millicores
+		needs := j.Steps[t.id.Step].Needs.Millicores
+		if t.id.Step != step {
+			step = t.id.Step
+			run := d.estimates.expectedRunTime(j.Route, j.Steps[step].Estimate)
+			perTask = run.Seconds() * float64(needs) / 1000
+		}
+		work += perTask
+		millicores += needs
 	}
 	return work, millicores
 }
