--- a/dispatch/followed_zone.go
+++ b/dispatch/followed_zone.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -46,14 +45,8 @@
 // followLeaders determines the present leaders of the followed zones, and forwards the jobs
 // of each zone to a new one.
 func (r *receiver) followLeaders(now time.Time) {
-	r.followLeader(now, r.home)
-	if len(r.zones) == 1 {
-		return
-	}
-	for _, name := range slices.Sorted(maps.Keys(r.zones)) {
-		if z := r.zones[name]; z != nil && z != r.home {
-			r.followLeader(now, z)
-		}
+	for n := 0; n < len(r.zones); n++ { // followLeader may append to them
+		r.followLeader(now, r.zones[n])
 	}
 }
 
@@ -137,18 +130,18 @@
 // follow returns the zone to which a job is redirected and follows its leader, or returns
 // nil if that leader is not known or was not reached lately.
 func (r *receiver) follow(now time.Time, name string) *followedZone {
-	if z := r.zones[name]; z != nil {
-		if !z.leaderlessSince.IsZero() {
-			return nil
+	if n := slices.IndexFunc(r.zones, func(z *followedZone) bool { return z.name == name }); n >= 0 {
+		if z := r.zones[n]; z.leaderlessSince.IsZero() {
+			return z
 		}
-		return z
+		return nil
 	}
 	claim, _ := r.instance.leadership.Claim(now, name)
 	if !claim.Leader.IsValid() || now.Before(r.unreachableUntil[name]) {
 		return nil
 	}
 	z := &followedZone{name: name, leader: claim, reportedUntil: now.Add(peer.LeaderTimeout)}
-	r.zones[name] = z
+	r.zones = append(r.zones, z)
 	return z
 }
 
@@ -176,21 +169,18 @@
 	if len(r.zones) == 1 {
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.zones)) {
-		z := r.zones[name]
-		if z == r.home {
+	for _, z := range r.zones[1:] {
+		if !z.leaderless(now, noLeaderTimeout) {
 			continue
 		}
-		jobs := r.jobsOf(z)
-		if z.leaderless(now, noLeaderTimeout) {
-			r.unreachableUntil[name] = now.Add(unreachableTime)
-			for _, o := range jobs {
-				r.returnHome(now, o, "no-leader", o.forwards > 0)
-			}
-			jobs = nil
-		}
-		if len(jobs) == 0 {
-			delete(r.zones, name)
+		r.unreachableUntil[z.name] = now.Add(unreachableTime)
+		for _, o := range r.jobsOf(z) {
+			r.returnHome(now, o, "no-leader", o.forwards > 0)
 		}
 	}
+	used := map[*followedZone]bool{r.home: true}
+	for _, o := range r.open {
+		used[o.zone] = true
+	}
+	r.zones = slices.DeleteFunc(r.zones, func(z *followedZone) bool { return !used[z] })
 }
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -15,7 +15,7 @@
 	callers  map[CallerID]string
 	// zones are the zones whose leaders are followed: the home zone, which is that of this
 	// instance, and those to which open jobs are redirected.
-	zones map[string]*followedZone
+	zones []*followedZone
 	home  *followedZone
 	// unreachableUntil is, for a zone of which no leader was reached, the time until which
 	// no job is redirected there.
@@ -53,7 +53,7 @@
 		instance:         i,
 		open:             make(map[string]*openJob),
 		callers:          make(map[CallerID]string),
-		zones:            map[string]*followedZone{home.name: home},
+		zones:            []*followedZone{home},
 		home:             home,
 		unreachableUntil: make(map[string]time.Time),
 		withdrawn:        uint64(now.UnixNano()),
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -131,9 +131,13 @@
 }
 
 func (d *dispatcher) redirectCandidate(now time.Time, j *activeJob, millicores int, wait time.Duration) redirectCandidate {
+	data := d.dataZone(j)
+	if _, led := d.terms[data]; led {
+		data = d.ledZones()[0] // this leader's zones are one to redirectDecision
+	}
 	return redirectCandidate{
 		id: j.ID, millicores: millicores, wait: wait, run: j.chainTime, left: j.objective.Sub(now),
-		dataZone: d.dataZone(j), remoteFactor: d.remoteRackFactor,
+		dataZone: data, remoteFactor: d.remoteRackFactor,
 	}
 }
 
