--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -208,7 +208,9 @@
 
 // TestRandomFaultsWithALeaderPerZone runs such faults, and others that part a caller from its
 // job, where each zone has a leader of its own: a job that is submitted again reaches a leader
-// that knows nothing of its first runs. These must have ended by then.
+// that knows nothing of its first runs. These must have ended by then. One zone gets more jobs
+// than it can run, so that jobs are redirected in each run, and the faults part them from
+// either leader.
 func TestRandomFaultsWithALeaderPerZone(t *testing.T) {
 	for seed := range seeds() {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
