--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -14,9 +14,9 @@
 	// maxUnplacedJobs is the number of jobs without a suitable worker after which the
 	// rest of the queue is skipped.
 	maxUnplacedJobs = 48
-	// remoteRackFactor is the factor by which the expected run time of a task grows
-	// on a rack that does not hold its data.
-	remoteRackFactor = 2
+	// defaultRemoteRackFactor is the factor by which the expected run time of a task
+	// grows on a rack that does not hold its data, unless the Config sets another one.
+	defaultRemoteRackFactor = 2
 )
 
 // place starts as many waiting tasks as the free resources allow.
@@ -29,6 +29,7 @@
 		return
 	}
 	d.findOpenWorkers(now)
+	d.waitingAhead = false
 	unplaced := 0
 	for _, j := range d.queue.jobs {
 		if !d.startable(now, j) {
@@ -36,6 +37,7 @@
 		}
 		if !d.placeJob(now, j) {
 			unplaced++
+			d.waitingAhead = true
 		}
 		if unplaced > maxUnplacedJobs {
 			break
@@ -103,8 +105,12 @@
 	}
 }
 
-// giveUp ends a job that this leader does not serve.
+// giveUp redirects a job that this leader does not serve to another zone that can, or ends
+// it.
 func (d *dispatcher) giveUp(now time.Time, j *activeJob, reason string) {
+	if d.redirectRefused(now, j) {
+		return
+	}
 	d.endJob(now, j, j.notServed(reason))
 }
 
@@ -170,22 +176,24 @@
 	expected := d.estimates.expectedRunTime(t.job.Route, step.Estimate)
 	var best *worker
 	var bestScore score
+	var bestTime time.Duration
 	for _, w := range d.open {
 		if w.Pool != t.job.Pool || !w.free().fits(step.Needs) || !w.eligible(step, t) {
 			continue
 		}
-		runTime := w.runTime(expected)
-		if step.Rack != "" && step.Rack != w.Rack {
-			runTime *= remoteRackFactor
-		}
+		runTime := d.runTimeOn(w, step, expected)
 		if !t.job.late && now.Add(runTime).After(t.job.objective) {
+			// A faster worker may still end the task in time.
 			continue
 		}
 		s := score{class: speedClass(expected, runTime), unproven: w.unproven > 0, wasted: d.wasted(w, step.Needs)}
 		if best == nil || s.less(bestScore) {
-			best, bestScore = w, s
+			best, bestScore, bestTime = w, s, runTime
 		}
 	}
+	if best != nil && t.job.late && d.fasterSoon(now, t, expected, bestTime) {
+		return nil
+	}
 	return best
 }
 
