dispatch: doubt by run, and early polls that settle it

A start without an answer, or an answer that was lost, took its worker out of use: by missed polls, by an exclusion after two unanswered starts, and by the wait for the time-out of a start (250 ms) or of a poll (700 ms). Runs now become doubtful after a time that follows the worker's measured answer times. A poll beside the outstanding one settles them, within a budget of a tenth of the commands. An excluded worker is one that carries out no starts.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -75,6 +75,7 @@
 	// onForgotten is called with a worker that was removed.
 	onForgotten func(w Worker)
 	pollCount   uint64
+	hedgeBudget hedgeBudget
 }
 
 // keptEnd is the end of a job, kept for receivers that forward the job again.
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -30,6 +30,9 @@
 	// 1, and logBias that of the ratio of the run time to the caller's estimate.
 	logMean, logBias float64
 	samples          int
+	// spread is the mean deviation of the logarithm of a run time from the expected one.
+	spread      float64
+	spreadKnown bool
 }
 
 // expectedRunTime returns the expected run time of a task of route on a worker of
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -12,9 +12,14 @@
 
 // poll issues a poll of w. The worker may wait for up to wait for a run to end.
 func (d *dispatcher) poll(now time.Time, w *worker, wait time.Duration) {
+	d.hedgeBudget.earn()
+	w.pollSent, w.pollWait = now, wait
+	w.latestPoll = d.sendPoll(now, w, wait)
+}
+
+// sendPoll issues a poll of w and returns its number.
+func (d *dispatcher) sendPoll(now time.Time, w *worker, wait time.Duration) uint64 {
 	d.pollCount++
-	w.latestPoll = d.pollCount
-	w.pollSent = now
 	acknowledged := w.lastProcessed
 	if len(w.unclaimedEnds) > 0 {
 		acknowledged = w.unclaimedEnds[0].Sequence - 1
@@ -26,6 +31,7 @@
 		Wait:          wait,
 		NewConnection: w.missedPolls > 0,
 	})
+	return d.pollCount
 }
 
 // pollNow makes an immediate poll of w due, even if a poll is outstanding.
@@ -61,6 +67,7 @@
 	case d.renewalDue(now, w):
 		d.poll(now, w, 0)
 	}
+	d.settleDoubts(now, w)
 }
 
 // wait returns the time for which w may delay its answer to the next poll.
@@ -89,9 +96,11 @@
 	if latest {
 		w.pollSent = time.Time{}
 	}
+	processed := w.lastProcessed
 	switch outcome {
 	case Accepted:
 		d.applyReport(now, w, poll, report)
+		w.answered(now, poll.IssuedAt, poll.Wait == 0)
 		if latest {
 			w.nextPoll = now
 			d.pollDue = append(d.pollDue, w)
@@ -100,22 +109,32 @@
 		d.onFenced(now, w.Zone)
 	case OtherIncarnation:
 		d.concludeAllRuns(now, w, "other-life")
-		d.pollMissed(now, w, latest)
+		d.pollMissed(now, w, poll, latest)
 	default:
-		d.pollMissed(now, w, latest)
+		d.pollMissed(now, w, poll, latest)
 	}
+	d.sidePollDone(now, w, poll, w.lastProcessed > processed)
 }
 
-// pollMissed handles a poll without an answer.
-func (d *dispatcher) pollMissed(now time.Time, w *worker, latest bool) {
+// pollMissed handles a poll without an answer. It is followed by another one at once; if
+// that gets none either, later ones follow after growing pauses. A worker that has answered
+// another command since is live: it stays in use.
+func (d *dispatcher) pollMissed(now time.Time, w *worker, poll Poll, latest bool) {
 	if !latest {
 		return
 	}
+	d.pollDue = append(d.pollDue, w)
+	w.nextPoll = now
+	if w.answeredAt.After(poll.IssuedAt) {
+		return
+	}
 	if w.missedPolls == 0 {
 		d.effects.decide("worker-silent", w.ID, "zone", w.Zone, "runs", len(w.runs))
 	}
 	w.missedPolls++
-	w.nextPoll = now.Add(min(pollRetryDelay<<min(w.missedPolls-1, 8), maxPollRetryDelay))
+	if w.missedPolls > 1 {
+		w.nextPoll = now.Add(min(pollRetryDelay<<min(w.missedPolls-2, 8), maxPollRetryDelay))
+	}
 }
 
 // applyReport applies a worker's report to its runs.
@@ -133,6 +152,8 @@
 		d.effects.decide("worker-back", w.ID, "misses", w.missedPolls)
 	}
 	w.missedPolls = 0
+	// An answer that was not delayed may report ends of any time since the last report.
+	w.endsLate = now.Sub(poll.IssuedAt) < w.answers.overdue() && poll.IssuedAt.Sub(w.clockAt) >= w.answers.overdue()
 	w.clock, w.clockAt = report.Clock, now
 	fresh := !w.polled
 	if fresh {
@@ -141,7 +162,7 @@
 	}
 	w.polled = true
 	d.applyFinished(now, w, report.Finished)
-	d.applyRunning(now, w, report)
+	d.applyRunning(now, w, poll, report)
 	if fresh && len(report.Running) > 0 {
 		d.effects.decide("worker-taken-over", w.ID, "zone", w.Zone, "running", len(report.Running), "orphaned", w.orphans)
 	}
@@ -173,7 +194,7 @@
 }
 
 // applyRunning compares the reported runs with the known runs.
-func (d *dispatcher) applyRunning(now time.Time, w *worker, report Report) {
+func (d *dispatcher) applyRunning(now time.Time, w *worker, poll Poll, report Report) {
 	listed := make(map[TaskID]bool, len(report.Running))
 	for _, p := range report.Running {
 		listed[p.Task] = true
@@ -189,7 +210,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		if !listed[r.id] {
-			d.runAbsent(now, w, r, report.Clock)
+			d.runAbsent(now, w, r, poll, report.Clock)
 		}
 	}
 }
@@ -238,12 +259,11 @@
 
 // recordProgress handles a report that r is running. It stops a run that has stalled.
 func (d *dispatcher) recordProgress(now time.Time, w *worker, r *run, percent int) {
-	if r.state == runSent || r.state == runUnknown {
-		r.state = runStarted
-	}
+	d.startConfirmed(now, w, r)
 	if percent != r.percent {
 		r.percent, r.progressAt = percent, now
 	}
+	d.expectEnd(now, w, r)
 	if r.task == nil || r.state != runStarted {
 		return
 	}
@@ -262,13 +282,17 @@
 	}
 }
 
-// runAbsent handles a report, made at clock, in which r is neither running nor
-// finished.
-func (d *dispatcher) runAbsent(now time.Time, w *worker, r *run, clock time.Duration) {
+// runAbsent handles a report, the answer to poll made at clock, in which r is neither
+// running nor finished.
+func (d *dispatcher) runAbsent(now time.Time, w *worker, r *run, poll Poll, clock time.Duration) {
 	switch r.state {
 	case runSent:
 		return
 	case runUnknown:
+		if poll.IssuedAt.Before(r.doubtAt) {
+			return // the start command may have arrived after this poll
+		}
+		d.startLost(now, w)
 		d.stop(now, w, r)
 	case runStopping:
 		if r.stopClock > 0 && clock > r.stopClock {
@@ -284,6 +308,7 @@
 // concludeRun concludes that a run is not running any more.
 func (d *dispatcher) concludeRun(now time.Time, w *worker, r *run, why string) {
 	d.effects.decide("run-not-running", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", why)
+	d.settled(now, w, r, why)
 	d.runEnded(now, w, r, RunAborted)
 }
 
@@ -331,7 +356,7 @@
 		case r.orphaned && r.state == runStarted && now.Sub(r.since) > orphanGracePeriod:
 			d.effects.decide("run-unclaimed", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
 			d.stop(now, w, r)
-		case r.state == runStopping && r.stopClock == 0 && now.Sub(r.stopSent) > stopRetryInterval:
+		case d.stopRetryDue(now, w, r):
 			d.stop(now, w, r)
 		}
 	}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -62,6 +62,7 @@
 		since:      now,
 		progressAt: now,
 	})
+	d.hedgeBudget.earn()
 	d.effects.Starts = append(d.effects.Starts, Start{
 		Command: d.commandTo(now, w, true),
 		Task:    t.id,
@@ -77,6 +78,7 @@
 	r.state = runStopping
 	r.stopSent = now
 	r.stopClock = 0
+	r.stopTries++
 	if _, led := d.terms[w.Zone]; !led {
 		// The run ends when its lease expires.
 		return
@@ -91,6 +93,10 @@
 // runEnded handles the end of a run.
 func (d *dispatcher) runEnded(now time.Time, w *worker, r *run, result RunResult) {
 	d.removeRun(w, r)
+	if result != RunAborted {
+		d.startConfirmed(now, w, r)
+		d.settled(now, w, r, "ended")
+	}
 	t := r.task
 	if t == nil {
 		return
@@ -160,7 +166,7 @@
 // recordRunTime updates the estimates with the run time of a run that has succeeded.
 // The run time of an adopted run is unknown.
 func (d *dispatcher) recordRunTime(now time.Time, w *worker, r *run) {
-	if r.adopted {
+	if r.adopted || w.endsLate {
 		return
 	}
 	j := r.task.job
@@ -171,6 +177,7 @@
 	if j.succeeded > 0 {
 		expected, weight = j.runTimeSum/time.Duration(j.succeeded), speedWeight
 	}
+	d.estimates.recordSpread(j.Route, w.runTime(expected), runTime)
 	w.updateSpeed(expected, runTime, weight)
 	j.runTimeSum += atSpeedOne
 	j.succeeded++
@@ -183,6 +190,9 @@
 	if w == nil || d.terms[w.Zone] != s.Term {
 		return
 	}
+	if outcome.isAnswer() {
+		w.answered(now, s.IssuedAt, true)
+	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number {
 		return
@@ -190,17 +200,12 @@
 	r.answerClock = max(r.answerClock, clock)
 	switch outcome {
 	case Accepted:
-		if r.state == runSent {
-			r.state = runStarted
+		d.startConfirmed(now, w, r)
+		if r.state == runStarted {
+			d.expectEnd(now, w, r)
 		}
 	case OutcomeUnknown:
-		d.effects.decide("start-outcome-unknown", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
-		r.mayStartLate = true
-		d.recordFailure(now, w, "start-outcome-unknown")
-		if r.state == runSent {
-			r.state = runUnknown
-			d.pollNow(now, w)
-		}
+		d.startUnanswered(now, w, r)
 	case Fenced:
 		d.onFenced(now, w.Zone)
 	default:
@@ -208,6 +213,19 @@
 	}
 }
 
+// startUnanswered handles a Start whose outcome is unknown.
+func (d *dispatcher) startUnanswered(now time.Time, w *worker, r *run) {
+	if r.state == runStarted {
+		return // a poll has settled it
+	}
+	d.effects.decide("start-outcome-unknown", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+	r.mayStartLate = true
+	d.doubt(now, w, r)
+	if r.state == runUnknown {
+		d.pollNow(now, w)
+	}
+}
+
 // startRefused handles the outcome of a Start that the worker has not carried out and
 // never will.
 func (d *dispatcher) startRefused(now time.Time, w *worker, r *run, outcome Outcome) {
@@ -233,6 +251,9 @@
 	if w == nil || d.terms[w.Zone] != s.Term {
 		return
 	}
+	if outcome.isAnswer() {
+		w.answered(now, s.IssuedAt, true)
+	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number || r.state != runStopping {
 		return
@@ -240,7 +261,12 @@
 	switch outcome {
 	case Accepted:
 		r.stopClock = clock
-		d.pollNow(now, w)
+		r.endDue = now
+		if !r.mayStartLate {
+			d.expectEnd(now, w, r)
+		}
+		w.sidePollDue = true
+		d.pollDue = append(d.pollDue, w)
 	case Fenced:
 		d.onFenced(now, w.Zone)
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -99,6 +99,10 @@
 	// The command may be carried out late, even by another incarnation of the worker.
 	mayStartLate bool
 	state        runState
+	// doubtAt is since when the outcome of the start command is in doubt, or zero.
+	doubtAt time.Time
+	// endDue is when the run should have ended, or zero if it is not known to run.
+	endDue time.Time
 	// since is when the run was started or found.
 	since time.Time
 	// answerClock is the worker's clock at the latest answer to a start command for
@@ -108,6 +112,8 @@
 	// clock when it accepted one, or 0.
 	stopSent  time.Time
 	stopClock time.Duration
+	// stopTries is the number of stop commands.
+	stopTries int
 	// confirmedAt is, for a run that is to be stopped, the latest time at which a receiver
 	// is known to have waited for it before, or zero.
 	confirmedAt time.Time
@@ -142,6 +148,29 @@
 	pollSent   time.Time
 	latestPoll uint64
 	nextPoll   time.Time
+	// pollWait is the time for which the worker may delay its answer to that poll.
+	pollWait time.Duration
+	// sidePollSent is when the outstanding poll beside it was sent, or zero, and
+	// latestSidePoll the number of the latest one. sidePollDue is set if one is to be
+	// sent at once.
+	sidePollSent   time.Time
+	latestSidePoll uint64
+	sidePollDue    bool
+	// answers estimates the worker's answer times, answeredAt is when it last answered a
+	// command, and hedges counts the extra polls since then.
+	answers    answerTimes
+	answeredAt time.Time
+	hedges     int
+	// quiet is set while an answer is overdue and no other one has arrived since the
+	// command.
+	quiet bool
+	// lostStarts counts the start commands in a row that were not carried out, and
+	// provenAt is when the worker was last known to have carried out one.
+	lostStarts int
+	provenAt   time.Time
+	// endsLate is set while a report is applied in which a run may have ended long before
+	// the report.
+	endsLate bool
 	// immediatePoll is set if the worker must answer the next poll at once.
 	// missedPolls counts the polls in a row without an answer.
 	immediatePoll bool
@@ -167,7 +196,7 @@
 
 // usable reports whether the worker may be assigned a task at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.gone(now) && !now.Before(w.excludedUntil)
+	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.quiet && !w.gone(now) && !now.Before(w.excludedUntil)
 }
 
 // gone reports whether the worker has been missing from the table for too long to be
@@ -237,6 +266,11 @@
 	for _, r := range w.runs {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *run) int { return a.id.compare(b.id) })
+	sortRuns(all)
 	return all
 }
+
+// sortRuns sorts runs in the order of their tasks.
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int { return a.id.compare(b.id) })
+}
