dispatch: a full budget at the start, and reports of the same time

A leader's budget of early polls was empty at the start of the trouble, and two lost polls in a row left a run to the time-outs. A report with the time of the one before may be older: a run that only it lists, and that has ended, counted as an orphan for 0.4 s.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -99,6 +99,7 @@
 		estimates:       make(estimates),
 		topSpeed:        1,
 		runConfirmation: runConfirmation,
+		hedgeBudget:     hedgeBudget{tokens: hedgeBurst},
 	}
 }
 
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -147,6 +147,8 @@
 	if !w.clockAt.IsZero() && (report.Clock < w.clock || (report.Clock == w.clock && poll.Number < w.latestReport)) {
 		return
 	}
+	// Of two reports of the same time either may be the later one.
+	sameTime := w.polled && !w.clockAt.IsZero() && report.Clock == w.clock
 	w.latestReport = poll.Number
 	if w.missedPolls > 0 {
 		d.effects.decide("worker-back", w.ID, "misses", w.missedPolls)
@@ -162,7 +164,7 @@
 	}
 	w.polled = true
 	d.applyFinished(now, w, report.Finished)
-	d.applyRunning(now, w, poll, report)
+	d.applyRunning(now, w, poll, report, sameTime)
 	if fresh && len(report.Running) > 0 {
 		d.effects.decide("worker-taken-over", w.ID, "zone", w.Zone, "running", len(report.Running), "orphaned", w.orphans)
 	}
@@ -193,14 +195,17 @@
 	}
 }
 
-// applyRunning compares the reported runs with the known runs.
-func (d *dispatcher) applyRunning(now time.Time, w *worker, poll Poll, report Report) {
+// applyRunning compares the reported runs with the known runs. If sameTime is set, the report
+// may be older than the one before: a run that only this one lists may have ended.
+func (d *dispatcher) applyRunning(now time.Time, w *worker, poll Poll, report Report, sameTime bool) {
 	listed := make(map[TaskID]bool, len(report.Running))
 	for _, p := range report.Running {
 		listed[p.Task] = true
 		r := w.runs[p.Task]
 		if r == nil || r.number != p.Number {
-			d.runFound(now, w, p)
+			if !sameTime {
+				d.runFound(now, w, p)
+			}
 			continue
 		}
 		d.recordProgress(now, w, r, p.Percent)
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -7,13 +7,17 @@
 
 const (
 	// maxHedges is the number of extra polls of a worker in a row without an answer of
-	// any kind. After that the time-outs of the commands decide.
-	maxHedges = 2
+	// any kind, each after twice the time of the one before. After that the time-outs of
+	// the commands decide.
+	maxHedges = 5
 	// minRunSpread is the smallest deviation of the logarithm of a run time from the
 	// expected one that is assumed, and runSpreads the number of deviations after which
 	// the end of a run is overdue.
 	minRunSpread = 0.05
 	runSpreads   = 2
+	// minProgress is the progress, in percent, from which on it predicts the end of a run
+	// better than the expected run time.
+	minProgress = 25
 	// overrunGrowth is the factor by which a run without reported progress exceeds its
 	// expected run time before its worker is asked again.
 	overrunGrowth = 1.5
@@ -106,7 +110,7 @@
 	}
 	j := r.task.job
 	total := w.runTime(d.estimates.expectedRunTime(j.Route, j.Steps[r.id.Step].Estimate))
-	if r.percent > 0 {
+	if r.percent >= minProgress || (r.percent > 0 && elapsed > total) {
 		total = elapsed * 100 / time.Duration(r.percent)
 	}
 	spread := math.Exp(runSpreads * d.estimates.spread(j.Route))
