dispatch: faster takeovers, and jobs that wait for a silent worker

A job that had an earlier leader waits for the workers of its pool only. Workers that have not answered yet are asked again after the typical answer time of the others. A waiting task whose earlier run may continue does not hold up the other tasks of its job. A job is given up when a silent worker's lease leaves no time for another run.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -75,6 +75,9 @@
 	// onForgotten is called with a worker that was removed.
 	onForgotten func(w Worker)
 	pollCount   uint64
+	// typicalAnswers estimates the answer times of all workers. It applies to workers that
+	// have not answered yet.
+	typicalAnswers answerTimes
 	hedgeBudget hedgeBudget
 }
 
@@ -250,13 +253,19 @@
 	return d.led
 }
 
-// allPolled reports whether this instance leads the zones of all workers and each
-// worker has answered a poll, so that every run of an earlier leader is known.
-func (d *dispatcher) allPolled() bool {
+// allPolled reports whether this instance leads the zones of all workers of pool and each
+// of these has answered a poll, so that every run of an earlier leader in the pool is known.
+// No leader starts a task outside its pool.
+func (d *dispatcher) allPolled(pool string) bool {
+	found := false
 	for _, w := range d.sortedWorkers {
+		if w.Pool != pool {
+			continue
+		}
 		if _, led := d.terms[w.Zone]; !led || !w.polled {
 			return false
 		}
+		found = true
 	}
-	return len(d.sortedWorkers) > 0
+	return found
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -77,7 +77,7 @@
 	if !j.queued || !j.suspendedAt.IsZero() || now.Sub(d.jobConfirmedAt(now, j)) > d.runConfirmation-minStartLease {
 		return false
 	}
-	return j.EarlierLeaders == 0 || !now.Before(j.EarlierRunsEndBy) || d.allPolled()
+	return j.EarlierLeaders == 0 || !now.Before(j.EarlierRunsEndBy) || d.allPolled(j.Pool)
 }
 
 // checkObjectives marks the jobs that cannot meet their objective any more. It
@@ -123,10 +123,12 @@
 				"workers-read", SinceOrNever(now, d.workersReadAt()))
 		}
 	}()
+	all := true
 	for _, t := range slices.Clone(j.waiting) {
 		if other := d.running[t.id]; other != nil {
 			d.logWait(now, j, "an earlier run may continue on "+other.ID)
-			return false
+			all = false
+			continue
 		}
 		w := d.chooseWorker(now, t)
 		if w == nil {
@@ -136,7 +138,7 @@
 		d.start(now, w, t)
 		runs = t.appendRun(runs, w)
 	}
-	return true
+	return all
 }
 
 // logWait logs that a task of j finds no worker, once for each job.
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -100,7 +100,7 @@
 	switch outcome {
 	case Accepted:
 		d.applyReport(now, w, poll, report)
-		w.answered(now, poll.IssuedAt, poll.Wait == 0)
+		d.answered(now, w, poll.IssuedAt, poll.Wait == 0)
 		if latest {
 			w.nextPoll = now
 			d.pollDue = append(d.pollDue, w)
@@ -155,7 +155,7 @@
 	}
 	w.missedPolls = 0
 	// An answer that was not delayed may report ends of any time since the last report.
-	w.endsLate = now.Sub(poll.IssuedAt) < w.answers.overdue() && poll.IssuedAt.Sub(w.clockAt) >= w.answers.overdue()
+	w.endsLate = now.Sub(poll.IssuedAt) < d.overdueAfter(w) && poll.IssuedAt.Sub(w.clockAt) >= d.overdueAfter(w)
 	w.clock, w.clockAt = report.Clock, now
 	fresh := !w.polled
 	if fresh {
@@ -356,6 +356,7 @@
 	if !led {
 		return
 	}
+	d.giveUpHopeless(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.orphaned && r.state == runStarted && now.Sub(r.since) > orphanGracePeriod:
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -191,7 +191,7 @@
 		return
 	}
 	if outcome.isAnswer() {
-		w.answered(now, s.IssuedAt, true)
+		d.answered(now, w, s.IssuedAt, true)
 	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number {
@@ -252,7 +252,7 @@
 		return
 	}
 	if outcome.isAnswer() {
-		w.answered(now, s.IssuedAt, true)
+		d.answered(now, w, s.IssuedAt, true)
 	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number || r.state != runStopping {
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -30,9 +30,10 @@
 
 // answered records that w itself has answered a command that was issued at issuedAt. If
 // prompt is set, the worker did not wait before it answered.
-func (w *worker) answered(now, issuedAt time.Time, prompt bool) {
+func (d *dispatcher) answered(now time.Time, w *worker, issuedAt time.Time, prompt bool) {
 	if prompt {
 		w.answers.record(now.Sub(issuedAt))
+		d.typicalAnswers.record(now.Sub(issuedAt))
 	}
 	w.answeredAt = now
 	w.quiet = false
@@ -47,6 +48,14 @@
 	}
 }
 
+// overdueAfter returns the time after which an answer of w is overdue.
+func (d *dispatcher) overdueAfter(w *worker) time.Duration {
+	if w.answers.known {
+		return w.answers.overdue()
+	}
+	return d.typicalAnswers.overdue()
+}
+
 // isAnswer reports whether o shows that the intended worker has received the command.
 func (o Outcome) isAnswer() bool {
 	return o != OutcomeUnknown && o != OtherIncarnation && o != NotSent
@@ -152,7 +161,7 @@
 	case w.sidePollDue:
 	case !overdue || w.hedges >= maxHedges || w.missedPolls > 1:
 		return
-	case !w.sidePollSent.IsZero() && now.Sub(w.sidePollSent) < w.answers.overdue()<<w.hedges:
+	case !w.sidePollSent.IsZero() && now.Sub(w.sidePollSent) < d.overdueAfter(w)<<w.hedges:
 		return
 	case !d.hedgeBudget.spend():
 		return
@@ -164,7 +173,7 @@
 
 // findOverdue reports whether an answer of w or the end of a run on it is overdue.
 func (d *dispatcher) findOverdue(now time.Time, w *worker) bool {
-	limit := w.answers.overdue()
+	limit := d.overdueAfter(w)
 	overdue := false
 	if !w.pollSent.IsZero() && w.pollWait == 0 && now.Sub(w.pollSent) >= limit {
 		w.suspect(w.pollSent)
@@ -225,5 +234,36 @@
 	if age > stopRetryInterval {
 		return true
 	}
-	return r.task != nil && age >= w.answers.overdue()<<min(r.stopTries, 4) && d.hedgeBudget.spend()
+	return r.task != nil && age >= d.overdueAfter(w)<<min(r.stopTries, 4) && d.hedgeBudget.spend()
+}
+
+// silentHedges is the number of extra polls in a row without an answer after which a worker
+// counts as silent: by then all its answers on several connections would be lost.
+const silentHedges = 3
+
+// leaseOver returns the time after which no run on w can be running any more if w stays
+// silent.
+func (w *worker) leaseOver() time.Time {
+	left := w.leaseEnd + maxStopTime - w.clock
+	return w.clockAt.Add(time.Duration(float64(left) / (1 - maxClockDrift)))
+}
+
+// giveUpHopeless gives up the jobs that wait for a run on w which cannot be settled in time:
+// w is silent, and another run could only start once the lease has expired, too late for the
+// job to be worth anything.
+func (d *dispatcher) giveUpHopeless(now time.Time, w *worker) {
+	if !w.quiet || w.hedges < silentHedges || w.clockAt.IsZero() {
+		return
+	}
+	over := w.leaseOver()
+	for _, r := range w.sortedRuns() {
+		if r.task == nil || r.task.state == taskDone {
+			continue
+		}
+		j := r.task.job
+		again := d.estimates.expectedRunTime(j.Route, j.Steps[r.id.Step].Estimate)
+		if over.Add(time.Duration(float64(again) / d.topSpeed)).After(j.worthlessAfter()) {
+			d.giveUp(now, j, "worker-silent")
+		}
+	}
 }
--- a/dispatch/unusable.go
+++ b/dispatch/unusable.go
@@ -52,7 +52,7 @@
 		if reason, ok := w.doubt(now); ok {
 			millicores[reason] += w.free().Millicores
 		}
-		limit := w.answers.overdue()
+		limit := d.overdueAfter(w)
 		for _, r := range w.runs {
 			switch {
 			case r.state == runUnknown, !r.doubtAt.IsZero():
