dispatch, peer: a restarted worker refuses late starts of before its restart

A worker's next incarnation has no record of stopped runs, so that it carried out a start command that arrived late. The commands of the leader to a worker that has restarted while a start command may still arrive carry a raised fencing token: after the first of them the late start is refused. What remains is a start that arrives between the restart and that command: nothing in it tells the incarnations apart.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // failureLimit is the number of failures in a row after which a worker is excluded
@@ -78,7 +80,11 @@
 	// typicalAnswers estimates the answer times of all workers. It applies to workers that
 	// have not answered yet.
 	typicalAnswers answerTimes
-	hedgeBudget hedgeBudget
+	hedgeBudget    hedgeBudget
+	// unfenced is set if workers accept commands of any term.
+	unfenced bool
+	// former are removed workers, by their IDs, at which a start command may still arrive.
+	former map[string]formerWorker
 }
 
 // keptEnd is the end of a job, kept for receivers that forward the job again.
@@ -101,6 +107,7 @@
 		duplicates:      make(map[TaskID][]*worker),
 		estimates:       make(estimates),
 		topSpeed:        1,
+		former:          make(map[string]formerWorker),
 		runConfirmation: runConfirmation,
 		hedgeBudget:     hedgeBudget{tokens: hedgeBurst},
 	}
@@ -120,6 +127,10 @@
 			w.polled = false
 			w.pollSent = time.Time{}
 			w.nextPoll = now
+			if w.token >= term {
+				// Commands of this instance's earlier term may still arrive.
+				w.token = peer.RaiseTerm(w.token)
+			}
 		}
 	}
 	d.effects.decide("zone-leadership-started", zone, "term", term, "workers-read", SinceOrNever(now, d.workersReadAt()))
@@ -174,8 +185,7 @@
 	d.duplicates = make(map[TaskID][]*worker)
 	d.led, d.pollDue = nil, nil
 	for i, w := range d.sortedWorkers {
-		fresh := newWorker(w.Worker)
-		fresh.speed = w.speed
+		fresh := freshWorker(w)
 		d.sortedWorkers[i] = fresh
 		d.workers[w.ID] = fresh
 	}
@@ -186,6 +196,7 @@
 	w := d.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
+		d.recall(w)
 		d.workers[entry.ID] = w
 		i, _ := slices.BinarySearchFunc(d.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		d.sortedWorkers = slices.Insert(d.sortedWorkers, i, w)
@@ -197,6 +208,9 @@
 		d.led = nil
 	}
 	restarted := w.Incarnation != entry.Incarnation || w.Address != entry.Address
+	if w.Incarnation != entry.Incarnation && w.incarnation != entry.Incarnation {
+		d.raiseToken(w)
+	}
 	w.Worker = entry
 	w.missingSince = time.Time{}
 	if restarted {
@@ -221,6 +235,7 @@
 	if now.Sub(later(w.missingSince, d.takenOver[w.Zone])) < missingWorkerTimeout || len(w.runs) > 0 {
 		return
 	}
+	d.remember(now, w)
 	d.dropWorker(w.ID)
 	d.onForgotten(w.Worker)
 }
--- a/dispatch/effects.go
+++ b/dispatch/effects.go
@@ -42,6 +42,8 @@
 	Address netip.AddrPort
 	// Term is the fencing token.
 	Term uint64
+	// claim is the term of the worker's zone. It is lower than Term if the token was raised.
+	claim uint64
 	// Lease is the time on the worker's clock until which all runs there may
 	// continue, or 0 if the command renews no lease.
 	Lease time.Duration
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -74,6 +74,7 @@
 	}
 	i.receiver = newReceiver(now, i)
 	i.dispatcher.effects = &i.effects
+	i.dispatcher.unfenced = cfg.Unfenced
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
@@ -368,7 +369,8 @@
 		claim, _ := i.leadership.Claim(now, zone)
 		probes := 0
 		for _, w := range i.dispatcher.sortedWorkers {
-			if w.Zone != zone || probes == probesPerZone {
+			if w.Zone != zone || probes == probesPerZone || w.Incarnation > peer.TermMillis(claim.Term) {
+				// A worker that has started since may have seen a raised token.
 				continue
 			}
 			probes++
--- /dev/null
+++ b/dispatch/late_start_test.go
@@ -0,0 +1,71 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/amaranthwell/amaranthwell/dispatch"
+)
+
+// loseStart makes the instance start a task whose start command gets no answer and is not
+// carried out, and answers the stop that follows. It returns the start.
+func (s *scriptedInstance) loseStart(is *is.I, id string) dispatch.Start {
+	is.Helper()
+	s.effects.Starts, s.effects.Stops = nil, nil
+	s.Submit(s.now, 1, s.job(id))
+	s.advance(10 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 1)
+	start := s.effects.Starts[0]
+	for range 20 {
+		if len(s.effects.Stops) > 0 {
+			break
+		}
+		s.advance(10 * time.Millisecond)
+	}
+	is.True(len(s.effects.Stops) > 0)
+	s.StopDone(s.now, s.effects.Stops[0], dispatch.Accepted, s.now.Sub(s.clockStart))
+	return start
+}
+
+// restartWorker starts a new incarnation of the worker, without runs.
+func (s *scriptedInstance) restartWorker() {
+	s.restarts++
+	s.clockStart = s.now
+	s.report = dispatch.Report{}
+}
+
+// TestStartFromBeforeARestartIsFenced guards against a start command that is carried out
+// late by the next incarnation of its worker, which has no record of the stop: the next
+// command to that incarnation has a higher token. The leader is not replaced by its own
+// token.
+func TestStartFromBeforeARestartIsFenced(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	start := s.loseStart(is, abandonedID)
+	s.restartWorker()
+	s.effects.Polls = nil
+	s.advance(2 * time.Second)
+	last := s.effects.Polls[len(s.effects.Polls)-1]
+	is.True(last.Term > start.Term)
+
+	// A command of before the restart meets the higher token.
+	s.StartDone(s.now, start, dispatch.Fenced, 0)
+	s.StopDone(s.now, s.effects.Stops[0], dispatch.Fenced, 0)
+	s.advance(20 * time.Millisecond)
+	is.True(s.Leading())
+}
+
+// TestTokenIsNotRaisedWithoutALostStart guards against tokens that grow with every restart: a
+// worker without a start command that may arrive late keeps the term of its zone.
+func TestTokenIsNotRaisedWithoutALostStart(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	term := s.effects.Polls[len(s.effects.Polls)-1].Term
+	s.restartWorker()
+	s.advance(2 * time.Second)
+	is.Equal(s.effects.Polls[len(s.effects.Polls)-1].Term, term)
+}
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -27,6 +27,8 @@
 	effects dispatch.Effects
 	// report is the worker's answer to polls.
 	report dispatch.Report
+	// restarts is how often the worker has restarted.
+	restarts int64
 }
 
 func newScriptedInstance() *scriptedInstance {
@@ -55,7 +57,7 @@
 	s.effects.Stops = append(s.effects.Stops, e.Stops...)
 	s.effects.Polls = append(s.effects.Polls, e.Polls...)
 	for _, poll := range e.Polls {
-		s.report.Incarnation, s.report.Clock = 1, s.now.Sub(s.clockStart)
+		s.report.Incarnation, s.report.Clock = 1+s.restarts, s.now.Sub(s.clockStart)
 		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
 	}
 }
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -89,7 +89,7 @@
 // pollDone handles the outcome of poll.
 func (d *dispatcher) pollDone(now time.Time, poll Poll, report Report, outcome Outcome) {
 	w := d.workers[poll.Worker]
-	if w == nil || d.terms[w.Zone] != poll.Term {
+	if w == nil || !d.current(w, poll.Command) {
 		return
 	}
 	latest := poll.Number == w.latestPoll
@@ -106,7 +106,11 @@
 			d.pollDue = append(d.pollDue, w)
 		}
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		if d.fencedByLeader(w, poll.Command) {
+			d.onFenced(now, w.Zone)
+			return
+		}
+		d.pollDue = append(d.pollDue, w)
 	case OtherIncarnation:
 		d.concludeAllRuns(now, w, "other-life")
 		d.pollMissed(now, w, poll, latest)
@@ -328,8 +332,10 @@
 // start command without an answer may still reach the new incarnation. Such a run is
 // stopped instead of concluded.
 func (d *dispatcher) workerRestarted(now time.Time, w *worker) {
+	d.raiseToken(w)
 	for _, r := range w.sortedRuns() {
 		if r.mayStartLate || r.state == runSent {
+			r.mayStartLate = true
 			d.stop(now, w, r)
 			continue
 		}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -8,7 +8,7 @@
 // commandTo returns the command header for w at now. If lease is set, and the worker's clock
 // and runs are known, it renews the lease of w as far as leaseLimit allows.
 func (d *dispatcher) commandTo(now time.Time, w *worker, lease bool) Command {
-	command := Command{Worker: w.ID, Address: w.Address, Term: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
+	command := Command{Worker: w.ID, Address: w.Address, Term: d.token(w), claim: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
 	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
@@ -36,6 +36,7 @@
 // removeRun removes a run from w.
 func (d *dispatcher) removeRun(w *worker, r *run) {
 	w.remove(r)
+	w.startsMayArrive = w.startsMayArrive || r.mayStartLate
 	duplicates := slices.DeleteFunc(d.duplicates[r.id], func(other *worker) bool { return other == w })
 	if d.running[r.id] == w {
 		delete(d.running, r.id)
@@ -187,7 +188,7 @@
 // startDone handles the outcome of a Start.
 func (d *dispatcher) startDone(now time.Time, s Start, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || !d.current(w, s.Command) {
 		return
 	}
 	if outcome.isAnswer() {
@@ -207,7 +208,11 @@
 	case OutcomeUnknown:
 		d.startUnanswered(now, w, r)
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		if d.fencedByLeader(w, s.Command) {
+			d.onFenced(now, w.Zone)
+			return
+		}
+		d.startRefused(now, w, r, outcome)
 	default:
 		d.startRefused(now, w, r, outcome)
 	}
@@ -248,7 +253,7 @@
 // stopDone handles the outcome of a Stop.
 func (d *dispatcher) stopDone(now time.Time, s Stop, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || !d.current(w, s.Command) {
 		return
 	}
 	if outcome.isAnswer() {
@@ -268,6 +273,8 @@
 		w.sidePollDue = true
 		d.pollDue = append(d.pollDue, w)
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		if d.fencedByLeader(w, s.Command) {
+			d.onFenced(now, w.Zone)
+		}
 	}
 }
--- /dev/null
+++ b/dispatch/tokens.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
+)
+
+// lateStartRetention is the time for which a worker that was removed is remembered, because a
+// start command may arrive late at a worker that starts again under its ID.
+const lateStartRetention = time.Minute
+
+// formerWorker is what is remembered of a worker that was removed.
+type formerWorker struct {
+	removedAt   time.Time
+	incarnation int64
+	token       uint64
+}
+
+// remember records w, which is removed, if a start command may still arrive there.
+func (d *dispatcher) remember(now time.Time, w *worker) {
+	for id, f := range d.former {
+		if now.Sub(f.removedAt) > lateStartRetention {
+			delete(d.former, id)
+		}
+	}
+	if w.lateStartPossible() {
+		d.former[w.ID] = formerWorker{removedAt: now, incarnation: w.incarnation, token: w.token}
+	}
+}
+
+// recall applies what is remembered of an earlier worker with the ID of w.
+func (d *dispatcher) recall(w *worker) {
+	f, ok := d.former[w.ID]
+	if !ok {
+		return
+	}
+	delete(d.former, w.ID)
+	w.incarnation, w.token, w.startsMayArrive = f.incarnation, f.token, true
+}
+
+// token returns the fencing token of commands to w: the term of its zone, or a higher one
+// that the worker's restart required.
+func (d *dispatcher) token(w *worker) uint64 { return max(d.terms[w.Zone], w.token) }
+
+// lateStartPossible reports whether a start command may still arrive at w.
+func (w *worker) lateStartPossible() bool {
+	if w.startsMayArrive {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.mayStartLate || r.state == runSent {
+			return true
+		}
+	}
+	return false
+}
+
+// raiseToken raises the token of commands to w, which has restarted, if a start command to an
+// earlier incarnation may still arrive. The present one has no record of the stop of that
+// run, but refuses the command once it has seen a higher token.
+func (d *dispatcher) raiseToken(w *worker) {
+	if _, led := d.terms[w.Zone]; !led || d.unfenced || !w.lateStartPossible() {
+		return
+	}
+	w.token = peer.RaiseTerm(d.token(w))
+	w.startsMayArrive = false
+	d.effects.decide("worker-token-raised", w.ID, "zone", w.Zone, "term", d.terms[w.Zone], "token", w.token)
+}
+
+// current reports whether c was issued in the present term of its worker's zone.
+func (d *dispatcher) current(w *worker, c Command) bool { return d.terms[w.Zone] == c.claim }
+
+// fencedByLeader reports whether c, which was refused because of its token, met another
+// leader, and not a token of this leader that was raised since.
+func (d *dispatcher) fencedByLeader(w *worker, c Command) bool { return c.Term >= d.token(w) }
+
+// freshWorker returns a worker like w of which no run is known, for an instance that leads no
+// zone any more.
+func freshWorker(w *worker) *worker {
+	fresh := newWorker(w.Worker)
+	fresh.speed, fresh.token, fresh.startsMayArrive = w.speed, w.token, w.lateStartPossible()
+	if fresh.startsMayArrive {
+		fresh.incarnation = w.incarnation
+	}
+	return fresh
+}
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -239,7 +239,7 @@
 
 // silentHedges is the number of extra polls in a row without an answer after which a worker
 // counts as silent: by then all its answers on several connections would be lost.
-const silentHedges = 3
+const silentHedges = 4
 
 // leaseOver returns the time after which no run on w can be running any more if w stays
 // silent.
@@ -252,7 +252,7 @@
 // w is silent, and another run could only start once the lease has expired, too late for the
 // job to be worth anything.
 func (d *dispatcher) giveUpHopeless(now time.Time, w *worker) {
-	if !w.quiet || w.hedges < silentHedges || w.clockAt.IsZero() {
+	if !w.quiet || w.hedges < silentHedges || w.clockAt.IsZero() || now.Sub(w.sidePollSent) < d.overdueAfter(w) {
 		return
 	}
 	over := w.leaseOver()
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -168,6 +168,10 @@
 	// provenAt is when the worker was last known to have carried out one.
 	lostStarts int
 	provenAt   time.Time
+	// startsMayArrive is set if a start command that was issued since token was raised may
+	// still arrive. token is the fencing token to use unless the term of the zone is higher.
+	startsMayArrive bool
+	token           uint64
 	// endsLate is set while a report is applied in which a run may have ended long before
 	// the report.
 	endsLate bool
