dispatch, cmd/amaranthwell, platform: capacity in doubt by reason, and tests of runs in doubt

A leader's gauges name the capacity that it doesn't use for lack of knowledge, by reason. The time that remains to a draining worker is read for the log only. Randomized fault runs with late commands and lost answers at twice the usual rates.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -70,6 +70,7 @@
 	jobSeconds map[dispatch.State]*metrics.Histogram
 	// decisions is the decision log. Only the control goroutine uses it.
 	decisions *decisionLog
+	doubt     *doubtMetrics
 }
 
 // newDispatchLoop returns a dispatchLoop whose control goroutine runs until ctx ends.
@@ -82,6 +83,7 @@
 		jobSeconds:     make(map[dispatch.State]*metrics.Histogram),
 
 		decisions: newDecisionLog(cfg.Logger),
+		doubt:     newDoubtMetrics(cfg.Metrics),
 	}
 	l.links = newLinks(l)
 	l.commands = newWorkerCommands(cfg.Workers, cfg.Metrics, l.post, l.decisions)
@@ -157,6 +159,7 @@
 	storeTime(&l.tablesReadAt, i.TablesReadAt())
 	storeTime(&l.workersReadAt, i.WorkersReadAt())
 	l.hasLeader.Store(i.HasLeader(now))
+	l.doubt.refresh(now, i)
 	if i.Leading() == l.leading.Load() {
 		return
 	}
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -230,7 +230,7 @@
 func (i *Instance) setWorker(now time.Time, w Worker, source string) {
 	latest, changed := i.table.set(w)
 	if changed {
-		i.effects.decide("worker", w.ID, "zone", latest.Zone, "address", latest.Address, "leaving", latest.Leaving,
+		i.effects.decide("worker", w.ID, "zone", latest.Zone, "address", latest.Address, "leaving", latest.Leaving, "remaining", latest.Remaining,
 			"millicores", latest.Capacity.Millicores, "version", latest.Version, "received", w.Version, "from", source)
 	}
 	i.dispatcher.setWorker(now, latest)
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -29,6 +29,8 @@
 	report dispatch.Report
 	// restarts is how often the worker has restarted.
 	restarts int64
+	// unanswered reports whether a poll gets no answer. It may be nil.
+	unanswered func(dispatch.Poll) bool
 }
 
 func newScriptedInstance() *scriptedInstance {
@@ -57,6 +59,9 @@
 	s.effects.Stops = append(s.effects.Stops, e.Stops...)
 	s.effects.Polls = append(s.effects.Polls, e.Polls...)
 	for _, poll := range e.Polls {
+		if s.unanswered != nil && s.unanswered(poll) {
+			continue
+		}
 		s.report.Incarnation, s.report.Clock = 1+s.restarts, s.now.Sub(s.clockStart)
 		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
 	}
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -93,10 +93,10 @@
 		}
 	case 7:
 		sim.lateCommands = 0.1
-		sim.after(lasts, func() { sim.lateCommands = 0 })
+		sim.after(lasts, func() { sim.lateCommands = sim.usualLate })
 	case 8:
 		sim.lostAnswers = 0.1
-		sim.after(lasts, func() { sim.lostAnswers = 0 })
+		sim.after(lasts, func() { sim.lostAnswers = sim.usualLost })
 	case 9:
 		if n.instance != nil {
 			n.kill()
@@ -104,7 +104,7 @@
 		}
 	case 10:
 		sim.lateCommands = 0.5
-		sim.after(lasts, func() { sim.lateCommands = 0 })
+		sim.after(lasts, func() { sim.lateCommands = sim.usualLate })
 	case 11:
 		for range 30 {
 			sim.after(time.Duration(sim.random.Int64N(int64(lasts))), sim.instances[sim.random.IntN(len(sim.instances))].disconnectCaller)
@@ -208,6 +208,17 @@
 	}
 }
 
+// TestRandomFaultsWithUnreliableWorkers runs such faults while a tenth of the start and stop
+// commands to all workers are late, and two fifths of the answers of two fifths of the workers
+// are lost, those to polls, too: conclusions about runs in doubt must hold whatever else fails.
+func TestRandomFaultsWithUnreliableWorkers(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runRandomFaults(t, newSimulationOf(seed, simulationConfig{unreliable: true, apart: seed%2 == 1}))
+		})
+	}
+}
+
 // TestLateStartAtARestartedWorker runs a seed in which a start command without an
 // answer is carried out by the next incarnation of its worker. That incarnation does
 // not know that the run was stopped, while the task is running on another worker.
@@ -222,6 +233,10 @@
 		}
 	}()
 	sim.run(warmUp)
+	if sim.unreliable {
+		sim.trouble(2*lateCommandShare, 2*lostAnswerShare)
+		sim.after(faultTime, func() { sim.trouble(0, 0) })
+	}
 	sim.submitJobs(faultTime)
 	for range 3 + sim.random.IntN(6) {
 		sim.after(time.Duration(sim.random.Int64N(int64(faultTime))), sim.injectFault)
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -70,6 +70,8 @@
 	// lateCommands and lostAnswers are the shares of the commands to workers that
 	// arrive late and whose answers are lost.
 	lateCommands, lostAnswers float64
+	// usualLate and usualLost are the shares while no fault changes them.
+	usualLate, usualLost float64
 	// lostPolls is set if answers to polls are lost, too, and lossy are the workers whose
 	// answers may be lost, or nil for all.
 	lostPolls bool
@@ -105,6 +107,8 @@
 	// apart is set if each zone has a leader of its own. One of eight tasks then runs
 	// for up to 3.6 s during the faults, and callers submit a job again to any zone.
 	apart bool
+	// unreliable is set if commands are late and answers are lost during all faults.
+	unreliable bool
 	// short is set if all jobs have eight tasks of shortRunTime and an objective of about
 	// twice that time.
 	short bool
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -15,6 +15,9 @@
 	// the end of a run is overdue.
 	minRunSpread = 0.05
 	runSpreads   = 2
+	// unknownRunSpread is the deviation before any run time is known: the end of a run is
+	// overdue after twice its expected run time.
+	unknownRunSpread = math.Ln2 / runSpreads
 	// minProgress is the progress, in percent, from which on it predicts the end of a run
 	// better than the expected run time.
 	minProgress = 25
@@ -135,7 +138,7 @@
 	if r := e[route]; r != nil && r.spreadKnown {
 		return max(r.spread, minRunSpread)
 	}
-	return math.Ln2
+	return unknownRunSpread
 }
 
 // recordSpread updates the spread of route with a run that took runTime and was expected
--- a/dispatch/uncertain_capacity_test.go
+++ b/dispatch/uncertain_capacity_test.go
@@ -20,7 +20,8 @@
 
 // trouble makes commands late for all workers and loses answers of a share of them.
 func (sim *simulation) trouble(late, lost float64) {
-	sim.lateCommands, sim.lostAnswers, sim.lostPolls = late, lost, true
+	sim.usualLate, sim.usualLost, sim.lostPolls = late, lost, true
+	sim.lateCommands, sim.lostAnswers = late, lost
 	sim.lossy = make(map[string]bool)
 	for n, f := range sim.workers {
 		if float64(n*7%10) < 10*lossyWorkersShare {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -18,7 +18,12 @@
 	Capacity Resources
 	// Leaving is set if the worker is about to exit and gets no new task.
 	Leaving bool
-	// Incarnation distinguishes the incarnations of a worker under the same ID.
+	// Remaining is the time that a leaving worker had left at least when its entry was
+	// written, or 0 if it is not known. It is for the log only.
+	Remaining time.Duration
+	// Incarnation distinguishes the incarnations of a worker under the same ID. It is the
+	// time of the worker's start in milliseconds since the Unix epoch, or 0 if that is not
+	// known.
 	Incarnation int64
 	// Version orders the entries of one worker: the entry with the highest version
 	// is the latest. It is 0 if it is not known.
