--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -81,6 +81,9 @@
 	// have not answered yet.
 	typicalAnswers answerTimes
 	hedgeBudget    hedgeBudget
+	// lastTick is when tick was last called, and doubtsFrom the time from which answers
+	// may be taken for overdue.
+	lastTick, doubtsFrom time.Time
 	// unfenced is set if workers accept commands of any term.
 	unfenced bool
 	// former are removed workers, by their IDs, at which a start command may still arrive.
--- a/dispatch/exclusion_test.go
+++ b/dispatch/exclusion_test.go
@@ -106,3 +106,29 @@
 	}
 	is.True(len(used) >= workers/2)
 }
+
+// TestLateCommandsExcludeNoWorkingWorker lets every third start command to the only worker
+// arrive late, two in a row at times. The worker carries out the others and stays in use.
+func TestLateCommandsExcludeNoWorkingWorker(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	for n := range 40 {
+		s.effects.Starts, s.effects.Stops = nil, nil
+		s.Submit(s.now, dispatch.CallerID(n), s.job(fmt.Sprintf("%016x", n)))
+		s.advance(10 * time.Millisecond)
+		is.Equal(len(s.effects.Starts), 1) // the worker is in use
+		start := s.effects.Starts[0]
+		if n%6 < 4 {
+			s.StartDone(s.now, start, dispatch.Accepted, s.now.Sub(s.clockStart))
+			s.report.Finished = []dispatch.FinishedTask{{Sequence: int64(n + 1), Task: start.Task, Number: start.Number, Result: dispatch.RunSucceeded}}
+			s.advance(20 * time.Millisecond)
+			continue
+		}
+		s.advance(60 * time.Millisecond)
+		is.True(len(s.effects.Stops) > 0)
+		s.Abandon(s.now, dispatch.CallerID(n))
+		s.StopDone(s.now, s.effects.Stops[0], dispatch.Accepted, s.now.Sub(s.clockStart))
+		s.advance(40 * time.Millisecond)
+	}
+}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -14,6 +14,7 @@
 	if !d.leading() {
 		return
 	}
+	d.noteTick(now)
 	d.checkWorkers(now)
 	d.checkJobs(now, leadership)
 	d.normalizeSpeeds()
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -21,6 +21,8 @@
 	// minProgress is the progress, in percent, from which on it predicts the end of a run
 	// better than the expected run time.
 	minProgress = 25
+	// maxTickGap is the time between two ticks from which on the process was paused.
+	maxTickGap = 50 * time.Millisecond
 	// overrunGrowth is the factor by which a run without reported progress exceeds its
 	// expected run time before its worker is asked again.
 	overrunGrowth = 1.5
@@ -156,10 +158,19 @@
 	r.spread += estimateWeight * (deviation - r.spread)
 }
 
+// noteTick records a tick. After a pause of the process, answers that have arrived meanwhile
+// are handled before any is taken for overdue.
+func (d *dispatcher) noteTick(now time.Time) {
+	if !d.lastTick.IsZero() && now.Sub(d.lastTick) > maxTickGap {
+		d.doubtsFrom = now.Add(minHedgeDelay)
+	}
+	d.lastTick = now
+}
+
 // settleDoubts polls w at once, beside an outstanding poll, if an answer or the end of a run
 // is overdue.
 func (d *dispatcher) settleDoubts(now time.Time, w *worker) {
-	overdue := d.findOverdue(now, w)
+	overdue := !now.Before(d.doubtsFrom) && d.findOverdue(now, w)
 	switch {
 	case w.sidePollDue:
 	case !overdue || w.hedges >= maxHedges || w.missedPolls > 1:
--- a/dispatch/uncertain_test.go
+++ b/dispatch/uncertain_test.go
@@ -182,3 +182,48 @@
 		is.True(other.Task != start.Task)
 	}
 }
+
+// TestOverlappingReportsOfOneTimeLeaveNoOrphan guards against a run that has ended and that an
+// older report, of the same time by the worker's clock, lists as running: it would count as a
+// run of an earlier leader, and its worker would be unused until it is stopped.
+func TestOverlappingReportsOfOneTimeLeaveNoOrphan(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	var open []dispatch.Poll
+	s.unanswered = func(p dispatch.Poll) bool {
+		open = append(open, p)
+		return true
+	}
+	s.Submit(s.now, 1, s.job(abandonedID))
+	s.advanceUntil(time.Second, func() bool { return len(open) > 1 })
+	start := s.effects.Starts[0]
+	running := dispatch.Report{
+		Incarnation: 1, Clock: s.now.Sub(s.clockStart),
+		Running: []dispatch.RunningTask{{Task: start.Task, Number: start.Number, Percent: 99}},
+	}
+	ended := running
+	ended.Running = nil
+	ended.Finished = []dispatch.FinishedTask{{Sequence: 1, Task: start.Task, Number: start.Number, Result: dispatch.RunSucceeded}}
+	s.PollDone(s.now, open[0], ended, dispatch.Accepted)
+	s.PollDone(s.now, open[1], running, dispatch.Accepted)
+	s.Submit(s.now, 2, s.job("5c0e7a21d94b36f9"))
+	s.advance(10 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), 2)
+}
+
+// TestAnswersThatArriveAfterAPauseSettleStarts guards against starts that are taken for lost
+// because the leader's own process was paused for a moment.
+func TestAnswersThatArriveAfterAPauseSettleStarts(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	s.Submit(s.now, 1, s.job(abandonedID))
+	s.advance(10 * time.Millisecond)
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.Tick(s.now)
+	s.take()
+	is.Equal(len(s.effects.Stops), 0)
+	s.StartDone(s.now, s.effects.Starts[0], dispatch.Accepted, s.now.Sub(s.clockStart))
+	is.Equal(len(s.effects.Stops), 0)
+}
