--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -75,7 +75,7 @@
 	r.state = runUnknown
 	r.mayStartLate = true
 	r.doubtAt = now
-	d.effects.decide("run-in-doubt", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
+	d.effects.routine("run-in-doubt", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
 		"after", now.Sub(r.since))
 }
 
@@ -84,7 +84,7 @@
 	if r.doubtAt.IsZero() {
 		return
 	}
-	d.effects.decide("run-settled", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
+	d.effects.routine("run-settled", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
 		"as", as, "after", now.Sub(r.doubtAt))
 	r.doubtAt = time.Time{}
 }
--- a/dispatch/uncertain_capacity_test.go
+++ b/dispatch/uncertain_capacity_test.go
@@ -89,5 +89,5 @@
 	for _, reason := range dispatch.DoubtReasons() {
 		t.Logf("in doubt, %v: %.1f %% of the capacity", reason, 100*inDoubt[reason]/float64(probes)/capacity)
 	}
-	is.True(worth > 0.85)
+	is.True(worth > 0.9)
 }
