--- a/dispatch/uncertain_test.go
+++ b/dispatch/uncertain_test.go
@@ -128,7 +128,7 @@
 	s.advance(200 * time.Millisecond) // shorter than any time-out
 	commands := len(s.effects.Starts) + len(s.effects.Stops)
 	is.True(commands > 0)
-	regular := workers + 1 // each worker's regular poll is due
+	regular := workers + 1                                            // each worker's regular poll is due
 	is.True(len(s.effects.Polls) <= regular+(regular+commands)/10+25) // a tenth, and the burst
 }
 
