--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -69,3 +70,25 @@
 	s.advance(2 * time.Second)
 	is.Equal(s.effects.Polls[len(s.effects.Polls)-1].Term, term)
 }
+
+// TestProbesLeaveOutWorkersBornSinceTheClaim guards against a zone that nobody leads any more
+// because a worker refuses the probes: its last leader had raised the token there.
+func TestProbesLeaveOutWorkersBornSinceTheClaim(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	claimed := s.now.UnixMilli()
+	for id, born := range map[string]int64{"w-1": claimed + 100, "w-2": claimed - 100} {
+		s.SetWorker(s.now, dispatch.Worker{
+			ID: id, Address: netip.MustParseAddrPort("10.0.1.1:80"), Pool: "editor", Zone: "hr-north-a",
+			Capacity: dispatch.Resources{Millicores: 9000, Memory: 100}, Incarnation: born,
+		})
+	}
+	s.heartbeats(firstLeader, uint64(claimed)<<10, 500*time.Millisecond)
+	s.unanswered = func(dispatch.Poll) bool { return true }
+	s.advance(3 * time.Second)
+	probed := make(map[string]bool)
+	for _, p := range s.effects.Polls {
+		probed[p.Worker] = probed[p.Worker] || p.Number == 0
+	}
+	is.Equal(probed, map[string]bool{"w-2": true})
+}
