--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -72,6 +72,7 @@
 	jobSeconds map[dispatch.State]*metrics.Histogram
 	// decisions is the decision log. Only the control goroutine uses it.
 	decisions *decisionLog
+	doubt     *doubtMetrics
 }
 
 // newDispatchLoop returns a dispatchLoop whose control goroutine runs until ctx ends.
@@ -85,6 +86,7 @@
 
 		decisions: newDecisionLog(cfg.Logger),
 		drained:   newDrainedState(cfg.Metrics, cfg.Node.Zones),
+		doubt:     newDoubtMetrics(cfg.Metrics),
 	}
 	l.links = newLinks(l)
 	l.commands = newWorkerCommands(cfg.Workers, cfg.Metrics, l.post, l.decisions)
@@ -162,6 +164,7 @@
 	storeTime(&l.workersReadAt, i.WorkersReadAt())
 	l.drained.copy(now, i)
 	l.hasLeader.Store(i.HasLeader(now))
+	l.doubt.refresh(now, i)
 	if i.Leading() == l.leading.Load() {
 		return
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // failureLimit is the number of failures in a row after which a worker is excluded
@@ -89,6 +91,17 @@
 	// waitingAhead is set while place considers a job behind another one of which a task
 	// has found no worker.
 	waitingAhead bool
+	// typicalAnswers estimates the answer times of all workers. It applies to workers that
+	// have not answered yet.
+	typicalAnswers answerTimes
+	hedgeBudget    hedgeBudget
+	// lastTick is when tick was last called, and doubtsFrom the time from which answers
+	// may be taken for overdue.
+	lastTick, doubtsFrom time.Time
+	// unfenced is set if workers accept commands of any term.
+	unfenced bool
+	// former are removed workers, by their IDs, at which a start command may still arrive.
+	former map[string]formerWorker
 }
 
 // keptEnd is the end of a job, kept for receivers that forward the job again.
@@ -111,10 +124,12 @@
 		duplicates:      make(map[TaskID][]*worker),
 		estimates:       make(estimates),
 		topSpeed:        1,
+		former:          make(map[string]formerWorker),
 		runConfirmation: runConfirmation,
 		foreign:         make(foreignReceivers),
 
 		remoteRackFactor: defaultRemoteRackFactor,
+		hedgeBudget:      hedgeBudget{tokens: hedgeBurst},
 	}
 }
 
@@ -132,6 +147,10 @@
 			w.polled = false
 			w.pollSent = time.Time{}
 			w.nextPoll = now
+			if w.token >= term {
+				// Commands of this instance's earlier term may still arrive.
+				w.token = peer.RaiseTerm(w.token)
+			}
 		}
 	}
 	d.effects.decide("zone-leadership-started", zone, "term", term, "workers-read", SinceOrNever(now, d.workersReadAt()))
@@ -187,8 +206,7 @@
 	d.led, d.pollDue = nil, nil
 	d.loads, d.foreign = receivedLoads{}, make(foreignReceivers)
 	for i, w := range d.sortedWorkers {
-		fresh := newWorker(w.Worker)
-		fresh.speed, fresh.unproven = w.speed, w.unproven
+		fresh := freshWorker(w)
 		d.sortedWorkers[i] = fresh
 		d.workers[w.ID] = fresh
 	}
@@ -199,6 +217,7 @@
 	w := d.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
+		d.recall(w)
 		d.workers[entry.ID] = w
 		i, _ := slices.BinarySearchFunc(d.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		d.sortedWorkers = slices.Insert(d.sortedWorkers, i, w)
@@ -210,6 +229,9 @@
 		d.led = nil
 	}
 	restarted := w.Incarnation != entry.Incarnation || w.Address != entry.Address
+	if w.Incarnation != entry.Incarnation && w.incarnation != entry.Incarnation {
+		d.raiseToken(w)
+	}
 	w.Worker = entry
 	w.missingSince = time.Time{}
 	if restarted {
@@ -234,6 +256,7 @@
 	if now.Sub(later(w.missingSince, d.takenOver[w.Zone])) < missingWorkerTimeout || len(w.runs) > 0 {
 		return
 	}
+	d.remember(now, w)
 	d.dropWorker(w.ID)
 	d.onForgotten(w.Worker)
 }
@@ -266,13 +289,19 @@
 	return d.led
 }
 
-// allPolled reports whether this instance leads the zones of all workers and each
-// worker has answered a poll, so that every run of an earlier leader is known.
-func (d *dispatcher) allPolled() bool {
+// allPolled reports whether this instance leads the zones of all workers of pool and each
+// of these has answered a poll, so that every run of an earlier leader in the pool is known.
+// No leader starts a task outside its pool.
+func (d *dispatcher) allPolled(pool string) bool {
+	found := false
 	for _, w := range d.sortedWorkers {
+		if w.Pool != pool {
+			continue
+		}
 		if _, led := d.terms[w.Zone]; !led || !w.polled {
 			return false
 		}
+		found = true
 	}
-	return len(d.sortedWorkers) > 0
+	return found
 }
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -77,6 +77,7 @@
 	}
 	i.receiver = newReceiver(now, i)
 	i.dispatcher.effects = &i.effects
+	i.dispatcher.unfenced = cfg.Unfenced
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
@@ -236,7 +237,7 @@
 func (i *Instance) setWorker(now time.Time, w Worker, source string) {
 	latest, changed := i.table.set(w)
 	if changed {
-		i.effects.decide("worker", w.ID, "zone", latest.Zone, "address", latest.Address, "leaving", latest.Leaving,
+		i.effects.decide("worker", w.ID, "zone", latest.Zone, "address", latest.Address, "leaving", latest.Leaving, "remaining", latest.Remaining,
 			"millicores", latest.Capacity.Millicores, "version", latest.Version, "received", w.Version, "from", source)
 	}
 	i.dispatcher.setWorker(now, latest)
@@ -375,7 +376,8 @@
 		claim, _ := i.leadership.Claim(now, zone)
 		probes := 0
 		for _, w := range i.dispatcher.sortedWorkers {
-			if w.Zone != zone || probes == probesPerZone {
+			if w.Zone != zone || probes == probesPerZone || w.Incarnation > peer.TermMillis(claim.Term) {
+				// A worker that has started since may have seen a raised token.
 				continue
 			}
 			probes++
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -8,7 +8,7 @@
 // commandTo returns the command header for w at now. If lease is set, and the worker's clock
 // and runs are known, it renews the lease of w as far as leaseLimit allows.
 func (d *dispatcher) commandTo(now time.Time, w *worker, lease bool) Command {
-	command := Command{Worker: w.ID, Address: w.Address, Term: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
+	command := Command{Worker: w.ID, Address: w.Address, Term: d.token(w), claim: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
 	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
@@ -36,6 +36,7 @@
 // removeRun removes a run from w.
 func (d *dispatcher) removeRun(w *worker, r *run) {
 	w.remove(r)
+	w.startsMayArrive = w.startsMayArrive || r.mayStartLate
 	duplicates := slices.DeleteFunc(d.duplicates[r.id], func(other *worker) bool { return other == w })
 	if d.running[r.id] == w {
 		delete(d.running, r.id)
@@ -62,6 +63,7 @@
 		since:      now,
 		progressAt: now,
 	})
+	d.hedgeBudget.earn()
 	d.effects.Starts = append(d.effects.Starts, Start{
 		Command: d.commandTo(now, w, true),
 		Task:    t.id,
@@ -77,6 +79,7 @@
 	r.state = runStopping
 	r.stopSent = now
 	r.stopClock = 0
+	r.stopTries++
 	if _, led := d.terms[w.Zone]; !led {
 		// The run ends when its lease expires.
 		return
@@ -91,6 +94,10 @@
 // runEnded handles the end of a run.
 func (d *dispatcher) runEnded(now time.Time, w *worker, r *run, result RunResult) {
 	d.removeRun(w, r)
+	if result != RunAborted {
+		d.startConfirmed(now, w, r)
+		d.runSettled(now, w, r, "ended")
+	}
 	t := r.task
 	if t == nil {
 		return
@@ -160,7 +167,7 @@
 // recordRunTime updates the estimates with the run time of a run that has succeeded.
 // The run time of an adopted run is unknown.
 func (d *dispatcher) recordRunTime(now time.Time, w *worker, r *run) {
-	if r.adopted {
+	if r.adopted || w.endsLate {
 		return
 	}
 	j := r.task.job
@@ -171,6 +178,7 @@
 	if j.succeeded > 0 {
 		expected, weight = j.runTimeSum/time.Duration(j.succeeded), speedWeight
 	}
+	d.estimates.recordSpread(j.Route, w.runTime(expected), runTime)
 	w.updateSpeed(expected, runTime, w.speedWeight(weight))
 	j.runTimeSum += atSpeedOne
 	j.succeeded++
@@ -180,9 +188,12 @@
 // startDone handles the outcome of a Start.
 func (d *dispatcher) startDone(now time.Time, s Start, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || !d.current(w, s.Command) {
 		return
 	}
+	if outcome.isAnswer() {
+		d.answered(now, w, s.IssuedAt, true)
+	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number {
 		return
@@ -190,24 +201,36 @@
 	r.answerClock = max(r.answerClock, clock)
 	switch outcome {
 	case Accepted:
-		if r.state == runSent {
-			r.state = runStarted
+		d.startConfirmed(now, w, r)
+		if r.state == runStarted {
+			d.expectEnd(now, w, r)
 		}
 	case OutcomeUnknown:
-		d.effects.decide("start-outcome-unknown", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
-		r.mayStartLate = true
-		d.recordFailure(now, w, "start-outcome-unknown")
-		if r.state == runSent {
-			r.state = runUnknown
-			d.pollNow(now, w)
-		}
+		d.startUnanswered(now, w, r)
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		if d.fencedByLeader(w, s.Command) {
+			d.onFenced(now, w.Zone)
+			return
+		}
+		d.startRefused(now, w, r, outcome)
 	default:
 		d.startRefused(now, w, r, outcome)
 	}
 }
 
+// startUnanswered handles a Start whose outcome is unknown.
+func (d *dispatcher) startUnanswered(now time.Time, w *worker, r *run) {
+	if r.state == runStarted {
+		return // a poll has settled it
+	}
+	d.effects.decide("start-outcome-unknown", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+	r.mayStartLate = true
+	d.doubt(now, w, r)
+	if r.state == runUnknown {
+		d.pollNow(now, w)
+	}
+}
+
 // startRefused handles the outcome of a Start that the worker has not carried out and
 // never will.
 func (d *dispatcher) startRefused(now time.Time, w *worker, r *run, outcome Outcome) {
@@ -230,9 +253,12 @@
 // stopDone handles the outcome of a Stop.
 func (d *dispatcher) stopDone(now time.Time, s Stop, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || !d.current(w, s.Command) {
 		return
 	}
+	if outcome.isAnswer() {
+		d.answered(now, w, s.IssuedAt, true)
+	}
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number || r.state != runStopping {
 		return
@@ -240,8 +266,15 @@
 	switch outcome {
 	case Accepted:
 		r.stopClock = clock
-		d.pollNow(now, w)
+		r.endDue = now
+		if !r.mayStartLate {
+			d.expectEnd(now, w, r)
+		}
+		w.sidePollDue = true
+		d.pollDue = append(d.pollDue, w)
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		if d.fencedByLeader(w, s.Command) {
+			d.onFenced(now, w.Zone)
+		}
 	}
 }
