--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -54,6 +54,7 @@
 	var longest, nominal time.Duration
 	for _, step := range job.Steps {
 		expected := d.estimates.expectedRunTime(job.Route, step.Estimate)
+		j.runTimes = append(j.runTimes, expected)
 		longest += expected
 		nominal += d.estimates.nominalRunTime(job.Route, expected)
 		cores := float64(step.Needs.Millicores) / 1000
@@ -65,6 +66,8 @@
 	}
 	j.chainTime = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
+	j.size = d.sizes.classify(j)
+	d.demand.add(now, j)
 	d.adoptRuns(now, j)
 	return j
 }
@@ -129,6 +132,7 @@
 		return
 	}
 	d.dropJob(now, j)
+	d.sizes.record(j, end.State == Completed)
 	kept := &keptEnd{end: end, at: now}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
@@ -143,7 +147,9 @@
 		return
 	}
 	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
-		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed)
+		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed,
+		"objective", j.objective.Sub(j.Arrived), "start", j.forecast.start, "ahead", j.forecast.ahead,
+		"capacity", j.forecast.capacity, "retry-after", end.RetryAfter)
 }
 
 // dropJob removes a job and stops its runs.
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -80,8 +80,6 @@
 	exclusionLimit = 2 * time.Second
 	// noLeaderTimeout is the time without a leader after which new jobs are refused.
 	noLeaderTimeout = 1500 * time.Millisecond
-	// retryAfter is the time after which a caller may submit a refused job again.
-	retryAfter = time.Second
 	// pauseThreshold is the time between two events from which on the process counts
 	// as having been paused.
 	pauseThreshold = 700 * time.Millisecond
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -41,6 +41,10 @@
 	pollAny bool
 	jobs    map[string]*activeJob
 	queue   queue
+	// plannedAt is when the queue was last planned.
+	plannedAt time.Time
+	demand    demand
+	sizes     sizes
 	ends    map[string]*keptEnd
 	// running maps a task to the worker on which it may be running, whether or not a
 	// job of this leader needs the run. A task in this map is not started.
@@ -96,6 +100,8 @@
 		running:         make(map[TaskID]*worker),
 		duplicates:      make(map[TaskID][]*worker),
 		estimates:       make(estimates),
+		demand:          make(demand),
+		sizes:           make(sizes),
 		topSpeed:        1,
 		runConfirmation: runConfirmation,
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -45,7 +45,7 @@
 	if j.EarlierLeaders > 0 {
 		return End{ID: j.ID, State: Overdue, Reason: reason}
 	}
-	return End{ID: j.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter}
+	return End{ID: j.ID, State: NotRun, Reason: reason, RetryAfter: j.retryAfterRefusal(j.Arrived)}
 }
 
 // A Step is a group of identical tasks of a Job.
@@ -210,6 +210,19 @@
 	work      float64
 	chainTime time.Duration
 	objective time.Time
+	// runTimes are the expected run times of a task of each step on a worker of speed 1.
+	runTimes []time.Duration
+	// size is the class of the job by its work within its kind.
+	size sizeClass
+	// favored is set while the job gets the minimum share of its route, reserved while it
+	// is one of the next to get it, and first while large jobs of its kind come first.
+	favored, reserved, first bool
+	// rank is the work of the waiting tasks when the queue was last sorted.
+	rank float64
+	// planned is set once a plan of the queue contained the job, and forecast holds what
+	// the latest plan expected of it.
+	planned  bool
+	forecast forecast
 	// queued is set while the job is in the leader's queue.
 	queued bool
 	late   bool
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -40,6 +40,7 @@
 			break
 		}
 	}
+	d.planQueue(now)
 }
 
 // findOpenWorkers determines the workers on which a task of a queued job might be started
@@ -85,6 +86,10 @@
 // runs that would end too late to be worth anything.
 func (d *dispatcher) checkObjectives(now time.Time) {
 	for _, j := range slices.Clone(d.queue.jobs) {
+		if !now.Before(j.CallerDeadline) {
+			d.dropExpired(now, j)
+			continue
+		}
 		best := d.minChainTime(j)
 		if !j.late && now.Add(best).After(j.objective) {
 			j.late = true
@@ -104,7 +109,11 @@
 
 // giveUp ends a job that this leader does not serve.
 func (d *dispatcher) giveUp(now time.Time, j *activeJob, reason string) {
-	d.endJob(now, j, j.notServed(reason))
+	end := j.notServed(reason)
+	if end.State == NotRun {
+		end.RetryAfter = retryAfter(now, j.ID, j.forecast.start, j.retrySpread(), j.CallerDeadline)
+	}
+	d.endJob(now, j, end)
 }
 
 // minChainTime returns the expected run time of j's longest chain of tasks on a fast
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -6,8 +6,9 @@
 )
 
 // queue holds the jobs with waiting tasks, in the order in which they get resources:
-// jobs that can still meet their objective first, then by urgency, then jobs that
-// have started, then by the expected processor time.
+// jobs that can still meet their objective first, then those of a route below its minimum
+// share, then by urgency, then jobs that have started, then large jobs of a kind whose large
+// jobs are served too rarely, then by the expected processor time of the waiting tasks.
 type queue struct {
 	jobs []*activeJob
 	// stale is set when the order of the jobs may have changed.
@@ -38,6 +39,9 @@
 	clear(q.jobs[len(kept):])
 	q.jobs = kept
 	if q.stale {
+		for _, j := range q.jobs {
+			j.rank = j.waitingWork()
+		}
 		slices.SortFunc(q.jobs, compareJobs)
 		q.stale = false
 	}
@@ -46,9 +50,11 @@
 func compareJobs(a, b *activeJob) int {
 	return cmp.Or(
 		compareBool(a.late, b.late),
+		compareBool(!a.favored, !b.favored),
 		cmp.Compare(a.Urgency, b.Urgency),
 		compareBool(!a.started, !b.started),
-		cmp.Compare(a.work, b.work),
+		compareBool(!a.first, !b.first),
+		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.ID, b.ID),
 	)
 }
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -59,8 +59,9 @@
 	o := r.open[job.ID]
 	if o == nil {
 		if reason := r.refusal(now); reason != "" {
-			r.answer(caller, End{ID: job.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter})
-			r.instance.effects.decide("job-not-run", job.ID, "request", job.Request, "route", job.Route, "reason", reason)
+			after := job.retryAfterRefusal(now)
+			r.answer(caller, End{ID: job.ID, State: NotRun, Reason: reason, RetryAfter: after})
+			r.instance.effects.decide("job-not-run", job.ID, "request", job.Request, "route", job.Route, "reason", reason, "retry-after", after)
 			return
 		}
 		o = &openJob{job: job}
@@ -286,7 +287,7 @@
 	o := r.open[id]
 	end := End{ID: id, State: Overdue, Reason: reason}
 	if !o.everForwarded {
-		end = End{ID: id, State: NotRun, Reason: reason, RetryAfter: retryAfter}
+		end = End{ID: id, State: NotRun, Reason: reason, RetryAfter: o.job.retryAfterRefusal(now)}
 	}
 	r.instance.effects.decide("job-"+end.State.String(), id, "request", o.job.Request, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived))
 	for _, caller := range o.callers {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -41,8 +41,7 @@
 		case !now.Before(j.CallerDeadline):
 			// The receiver has answered its callers and withdraws the job, unless the
 			// withdrawal is lost.
-			d.effects.decide("job-expired", id, "age", now.Sub(j.Arrived), "placed", j.placed)
-			d.dropJob(now, j)
+			d.dropExpired(now, j)
 		case !silent && !j.suspendedAt.IsZero() && now.Sub(j.forwardRequestedAt) > forwardRequestInterval:
 			j.forwardRequestedAt = now
 			for _, addr := range live {
@@ -59,6 +58,12 @@
 	}
 }
 
+// dropExpired drops a job for which no caller waits any more.
+func (d *dispatcher) dropExpired(now time.Time, j *activeJob) {
+	d.effects.decide("job-expired", j.ID, "age", now.Sub(j.Arrived), "placed", j.placed)
+	d.dropJob(now, j)
+}
+
 // liveReceivers returns the receivers of j from which something was received
 // recently, in order.
 func (d *dispatcher) liveReceivers(now time.Time, j *activeJob, leadership *peer.Leadership) []netip.AddrPort {
