--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -14,6 +14,12 @@
 		d.effects.decide("job-rejected", job.ID, "from", from, "zone", d.zoneOf(from))
 		return
 	}
+	submitted := job.Arrived
+	if kept := d.ends[job.ID]; kept != nil && kept.resubmitted(job) {
+		// Its worth depends on the caller's first request.
+		job.Arrived = kept.arrived
+		delete(d.ends, job.ID)
+	}
 	if kept := d.ends[job.ID]; kept != nil {
 		kept.receivers = append(kept.receivers, from)
 		d.reportEnd(now, from, kept.end)
@@ -25,7 +31,7 @@
 			d.reportEnd(now, from, job.notServed("too-many-jobs"))
 			return
 		}
-		j = d.activate(now, job)
+		j = d.activate(now, job, submitted)
 	}
 	j.receivers[from] = struct{}{}
 	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
@@ -47,9 +53,10 @@
 	return b
 }
 
-// activate adds job as an active job.
-func (d *dispatcher) activate(now time.Time, job Job) *activeJob {
+// activate adds job, which its caller submitted last at submitted, as an active job.
+func (d *dispatcher) activate(now time.Time, job Job, submitted time.Time) *activeJob {
 	j := newActiveJob(job)
+	j.submitted = submitted
 	d.jobs[job.ID] = j
 	var longest, nominal time.Duration
 	for _, step := range job.Steps {
@@ -67,6 +74,8 @@
 	j.chainTime = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
 	j.size = d.sizes.classify(j)
+	j.first = d.sizes.behind(j)
+	j.late = now.Add(d.minChainTime(j)).After(j.objective)
 	d.demand.add(now, j)
 	d.adoptRuns(now, j)
 	return j
@@ -133,7 +142,7 @@
 	}
 	d.dropJob(now, j)
 	d.sizes.record(j, end.State == Completed)
-	kept := &keptEnd{end: end, at: now}
+	kept := &keptEnd{end: end, at: now, arrived: j.Arrived}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
 	}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,12 @@
 	// planOptimism scales the expected run times in a plan: a job is refused only if it
 	// would be late even if all runs ahead of it were that much shorter.
 	planOptimism = 0.75
+	// minForecastWait is the shortest wait behind the jobs in the queue from which on jobs
+	// that have not arrived yet count, too: a shorter queue may run dry, and capacity then
+	// goes to less urgent jobs or to none.
+	minForecastWait = 20 * time.Millisecond
+	// overloadMemory is the age of a plan up to which its view of the load applies.
+	overloadMemory = 50 * time.Millisecond
 	// silentWorkerTime is the time after which a plan expects a worker back that has not
 	// answered or that is excluded.
 	silentWorkerTime = 100 * time.Millisecond
@@ -74,6 +80,7 @@
 	}
 	d.plannedAt = now
 	pools := d.planPools(now)
+	d.findOverload(now, pools)
 	d.favorRoutes(pools)
 	d.queue.sort()
 	for _, j := range append([]*activeJob(nil), d.queue.jobs...) {
@@ -83,11 +90,14 @@
 		}
 		waitFactor := d.demand.waitFactor(now, j, pool.capacity)
 		f, fits := pool.plan(j, func(start time.Duration) bool {
-			if j.started || j.reserved || j.late {
+			if j.started || j.reserved {
 				return true
 			}
-			wait := time.Duration(float64(start) * waitFactor)
-			return !now.Add(wait + d.minChainTime(j)).After(j.objective)
+			wait := start
+			if start >= minForecastWait {
+				wait = time.Duration(float64(start) * waitFactor)
+			}
+			return !now.Add(wait + d.minChainTime(j)).After(j.usefulUntil())
 		})
 		j.forecast = f
 		if !fits {
@@ -98,6 +108,34 @@
 	}
 }
 
+// usefulUntil returns the time by which j must end to be worth its resources under overload:
+// its objective or, if it cannot meet that, the time after which its end is worthless.
+func (j *activeJob) usefulUntil() time.Time {
+	if j.late {
+		return j.worthlessAfter()
+	}
+	return j.objective
+}
+
+// findOverload determines the overloaded pools.
+func (d *dispatcher) findOverload(now time.Time, pools map[string]*poolPlan) {
+	d.overload = make(map[string]bool, len(pools))
+	for name, pool := range pools {
+		if demand := d.demand[name]; demand != nil && pool.capacity > 0 {
+			d.overload[name] = demand.overloaded(now, pool.capacity)
+		}
+	}
+}
+
+// overloadedPools returns the pools in which no late job is started, because jobs that can
+// end in time need all of their capacity: those that were overloaded in a recent plan.
+func (d *dispatcher) overloadedPools(now time.Time) map[string]bool {
+	if now.Sub(d.plannedAt) > overloadMemory {
+		return nil
+	}
+	return d.overload
+}
+
 // hopelessReason returns the reason of the refusal of a job that cannot end in time.
 func (j *activeJob) hopelessReason() string {
 	if j.planned {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -43,9 +43,11 @@
 	queue   queue
 	// plannedAt is when the queue was last planned.
 	plannedAt time.Time
-	demand    demand
-	sizes     sizes
-	ends    map[string]*keptEnd
+	// overload holds the pools that were overloaded then.
+	overload map[string]bool
+	demand   demand
+	sizes    sizes
+	ends     map[string]*keptEnd
 	// running maps a task to the worker on which it may be running, whether or not a
 	// job of this leader needs the run. A task in this map is not started.
 	running map[TaskID]*worker
@@ -86,6 +88,14 @@
 	end       End
 	at        time.Time
 	receivers []netip.AddrPort
+	// arrived is when the job arrived from its caller for the first time.
+	arrived time.Time
+}
+
+// resubmitted reports whether job is a new submission of a job that was refused: a receiver
+// that has only missed the refusal marks the job as one that was forwarded before.
+func (k *keptEnd) resubmitted(job Job) bool {
+	return k.end.State == NotRun && job.EarlierLeaders == 0
 }
 
 func newDispatcher(self netip.AddrPort, runConfirmation time.Duration) *dispatcher {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -179,6 +179,9 @@
 type activeJob struct {
 	Job
 	receivers map[netip.AddrPort]struct{}
+	// submitted is when the caller submitted the job last. Arrived is earlier if this
+	// leader has refused the job before.
+	submitted time.Time
 	// confirmedAt is the latest time at which a former receiver is known to have waited
 	// for the job, or zero.
 	confirmedAt time.Time
@@ -217,8 +220,10 @@
 	// favored is set while the job gets the minimum share of its route, reserved while it
 	// is one of the next to get it, and first while large jobs of its kind come first.
 	favored, reserved, first bool
-	// rank is the work of the waiting tasks when the queue was last sorted.
-	rank float64
+	// demandRank is the rank of the job in the demand for its pool, and rank the work of
+	// the waiting tasks when the queue was last sorted.
+	demandRank demandRank
+	rank       float64
 	// planned is set once a plan of the queue contained the job, and forecast holds what
 	// the latest plan expected of it.
 	planned  bool
@@ -237,7 +242,7 @@
 
 // maxWaitUntil returns the time until which the job may wait for its first start.
 func (j *activeJob) maxWaitUntil() time.Time {
-	return j.Arrived.Add(time.Duration(maxWaitShare * float64(j.objective.Sub(j.Arrived))))
+	return j.submitted.Add(time.Duration(maxWaitShare * float64(j.objective.Sub(j.Arrived))))
 }
 
 // notServed returns the end of a job that is given up.
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -62,7 +61,7 @@
 	speed float64
 	// runs are the starts and the run times of the running tasks.
 	runs map[dispatch.TaskID]modelRun
-	down  bool
+	down bool
 }
 
 // A modelRun is a run on a modelWorker.
@@ -75,7 +74,9 @@
 // a simulated clock.
 type loadModel struct {
 	*dispatch.Instance
-	now       time.Time
+	now time.Time
+	// arrivals are the sources of the jobs of each kind, and random that of run times.
+	arrivals  [3]*rand.Rand
 	random    *rand.Rand
 	events    eventQueue
 	count     int
@@ -97,6 +98,9 @@
 		workers: make(map[string]*modelWorker), callers: make(map[dispatch.CallerID]*modelJob),
 		byID: make(map[string]*modelJob), starts: make(map[string][]time.Time), rates: [3]float64{1, 1, 1},
 	}
+	for kind := range m.arrivals {
+		m.arrivals[kind] = rand.New(rand.NewPCG(seed, 10+uint64(kind)))
+	}
 	m.Instance = dispatch.NewInstance(m.now, dispatch.Config{Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: m.now})
 	for n := range modelWorkers {
 		id := fmt.Sprintf("w-%02d", n)
@@ -128,16 +132,16 @@
 // gap returns a random time between two arrivals.
 func (m *loadModel) gap(kind int) time.Duration {
 	rate := modelKinds[kind].perSecond * max(m.rates[kind], 0.01)
-	return time.Duration(m.random.ExpFloat64() / rate * float64(time.Second))
+	return time.Duration(m.arrivals[kind].ExpFloat64() / rate * float64(time.Second))
 }
 
 // arrive submits a job, and schedules the next one of its kind.
 func (m *loadModel) arrive(kind int) {
 	m.after(m.gap(kind), func() { m.arrive(kind) })
 	k := modelKinds[kind]
-	size := math.Exp(0.5 * m.random.NormFloat64())
+	size := math.Exp(0.5 * m.arrivals[kind].NormFloat64())
 	tasks := max(1, int(math.Round(float64(k.tasks)*size)))
-	nominal := time.Duration(float64(k.run) * math.Exp(0.25*m.random.NormFloat64()))
+	nominal := time.Duration(float64(k.run) * math.Exp(0.25*m.arrivals[kind].NormFloat64()))
 	j := &modelJob{kind: kind, first: m.now, nominal: nominal, work: nominal.Seconds() * float64(tasks)}
 	j.objective = time.Duration(1.6*float64(nominal)) + 60*time.Millisecond
 	j.job = dispatch.Job{
@@ -295,21 +299,18 @@
 	latestShare    float64
 }
 
-// results returns what the callers got whose jobs arrived in a period.
-func (m *loadModel) results(from, to time.Time) [3]modelResult {
-	var results [3]modelResult
-	for kind := range modelKinds {
-		var jobs []*modelJob
-		for _, j := range m.jobs {
-			if j.kind == kind && !j.first.Before(from) && j.first.Before(to) {
-				jobs = append(jobs, j)
-			}
+// arrived returns the jobs of a kind that arrived in a period.
+func (m *loadModel) arrived(kind int, from, to time.Time) []*modelJob {
+	var jobs []*modelJob
+	for _, j := range m.jobs {
+		if j.kind == kind && !j.first.Before(from) && j.first.Before(to) {
+			jobs = append(jobs, j)
 		}
-		results[kind] = resultsOf(jobs)
 	}
-	return results
+	return jobs
 }
 
+// resultsOf returns what the callers of jobs of one kind got.
 func resultsOf(jobs []*modelJob) modelResult {
 	r := modelResult{jobs: len(jobs)}
 	if len(jobs) == 0 {
@@ -354,15 +355,10 @@
 	return float64(n) / float64(max(len(jobs), 1))
 }
 
-// report returns the results as a table.
-func report(results [3]modelResult) string {
-	var b strings.Builder
-	for kind, r := range results {
-		fmt.Fprintf(&b, "\n%-7s jobs %5d in time %.3f worth %.3f large %.3f largest %.3f refused %5d median %v latest %v (%.2f of objective)",
-			modelKinds[kind].route, r.jobs, r.inTime, r.worth, r.large, r.largest, r.refused,
-			r.median.Round(100*time.Microsecond), r.latest.Round(time.Millisecond), r.latestShare)
-	}
-	return b.String()
+// String returns the results as a row of a table.
+func (r modelResult) String() string {
+	return fmt.Sprintf("%5d | %.3f | %.3f | %.3f | %.3f | %4d | %5.1f | %.2f", r.jobs, r.inTime, r.worth, r.large, r.largest,
+		r.refused, float64(r.median)/float64(time.Millisecond), r.latestShare)
 }
 
 // flood multiplies the rates of the kinds for d.
@@ -372,22 +368,48 @@
 	m.rates = [3]float64{1, 1, 1}
 }
 
-// TestLoadModelReport prints what the callers of each kind get in floods of each kind and
-// of all. It is the source of the table in docs/design/load-shedding.md.
+// modelFloods are the floods of the load model: the factors of the rates of the kinds.
+var modelFloods = []struct {
+	name  string
+	rates [3]float64
+}{
+	{"none", [3]float64{1, 1, 1}},
+	{"thumbs", [3]float64{2.3, 1, 1}},
+	{"proofs", [3]float64{1, 2.3, 1}},
+	{"prints", [3]float64{1, 1, 2.3}},
+	{"all", [3]float64{2.2, 2.2, 2.2}},
+}
+
+// modelFlood is the length of a flood of the load model.
+const modelFlood = 10 * time.Second
+
+// TestLoadModelReport prints what the callers of each kind get during floods of each kind
+// and of all, and in the seconds after them. It is the source of the table in
+// docs/design/load-shedding.md.
 func TestLoadModelReport(t *testing.T) {
-	for name, rates := range map[string][3]float64{
-		"calm": {1, 1, 1}, "thumbs": {2.3, 1, 1}, "proofs": {1, 2.3, 1}, "prints": {1, 1, 2.3}, "all": {2.2, 2.2, 2.2},
-	} {
-		t.Run(name, func(t *testing.T) {
-			m := newLoadModel(1)
+	if !testing.Verbose() {
+		t.Skip("prints a table with -v")
+	}
+	t.Log("flood | kind | jobs | in time | worth | large | largest | refused | median ms | latest/objective")
+	for _, f := range modelFloods {
+		var during, after [3][]*modelJob
+		busy := 0.0
+		for seed := range uint64(4) {
+			m := newLoadModel(seed)
 			m.run(3 * time.Second)
 			begin := m.now
 			m.busy = 0
-			m.flood(10*time.Second, rates)
-			busy := m.busy.Seconds() / 10 / (2 * modelWorkers)
+			m.flood(modelFlood, f.rates)
+			busy += m.busy.Seconds() / modelFlood.Seconds() / (2 * modelWorkers) / 4
 			end := m.now
-			m.run(8 * time.Second)
-			t.Logf("busy %.2f%s\nafter:%s", busy, report(m.results(begin, end)), report(m.results(end, end.Add(5*time.Second))))
-		})
+			m.run(6 * time.Second)
+			for kind := range modelKinds {
+				during[kind] = append(during[kind], m.arrived(kind, begin, end)...)
+				after[kind] = append(after[kind], m.arrived(kind, end, end.Add(3*time.Second))...)
+			}
+		}
+		for kind, k := range modelKinds {
+			t.Logf("%-6s | %s | %v | after: %v | busy %.2f", f.name, k.route, resultsOf(during[kind]), resultsOf(after[kind]), busy)
+		}
 	}
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -24,13 +24,14 @@
 	d.findUnreadZones(now)
 	d.queue.sort()
 	d.checkObjectives(now)
+	overloaded := d.overloadedPools(now)
 	if len(d.queue.jobs) == 0 {
 		return
 	}
 	d.findOpenWorkers(now)
 	unplaced := 0
 	for _, j := range d.queue.jobs {
-		if !d.startable(now, j) {
+		if !d.startable(now, j) || (j.late && !j.started && overloaded[j.Pool]) {
 			continue
 		}
 		if !d.placeJob(now, j) {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -1,19 +1,9 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
-
 const (
 	// minRouteShare is the share of a pool's capacity that each route may use under
 	// overload before more urgent routes, so that none is starved.
 	minRouteShare = 0.05
-	// demandTime is the time constant of the mean demand, and maxUrgentDemand the
-	// largest share of the capacity that a forecast leaves to more urgent jobs that have
-	// not arrived yet.
-	demandTime      = 500 * time.Millisecond
-	maxUrgentDemand = 0.9
 )
 
 // favorRoutes marks, in each pool, the first queued jobs of those routes that use less than
@@ -47,45 +37,3 @@
 		}
 	}
 }
-
-// demand is the mean demand for the capacity of the pools, by pool and urgency.
-type demand map[string]map[int]*decayingSum
-
-// decayingSum is a sum whose terms decay with the time constant demandTime.
-type decayingSum struct {
-	sum float64
-	at  time.Time
-}
-
-// value returns the sum at now.
-func (s *decayingSum) value(now time.Time) float64 {
-	return s.sum * math.Exp(-float64(now.Sub(s.at))/float64(demandTime))
-}
-
-// add adds a job that has arrived.
-func (m demand) add(now time.Time, j *activeJob) {
-	pool := m[j.Pool]
-	if pool == nil {
-		pool = make(map[int]*decayingSum)
-		m[j.Pool] = pool
-	}
-	s := pool[j.Urgency]
-	if s == nil {
-		s = &decayingSum{at: now}
-		pool[j.Urgency] = s
-	}
-	s.sum, s.at = s.value(now)+j.work, now
-}
-
-// waitFactor returns the factor by which the wait of j grows because more urgent jobs keep
-// arriving and are served before it.
-func (m demand) waitFactor(now time.Time, j *activeJob, capacity int) float64 {
-	work := 0.0
-	for urgency, s := range m[j.Pool] {
-		if urgency < j.Urgency {
-			work += s.value(now)
-		}
-	}
-	cores := work / demandTime.Seconds()
-	return 1 / (1 - min(cores/(float64(capacity)/1000), maxUrgentDemand))
-}
--- a/dispatch/sizes.go
+++ b/dispatch/sizes.go
@@ -8,12 +8,14 @@
 	largestQuantile = 0.9
 	// quantileStep is the largest change of the logarithm of a quantile with one job.
 	quantileStep = 0.03
-	// servedWeight is the weight of a job in the share of its size class that is served.
-	servedWeight = 0.05
+	// servedWeight is the weight of a job in the share of its size class that is served,
+	// and kindWeight that in the share of its kind, which has more jobs.
+	servedWeight = 0.2
+	kindWeight   = 0.05
 	// minServedRatio is the ratio of the share of large jobs that is served to that of
 	// their kind below which large jobs come first. It must not fall below a half; the
 	// rest is a margin for the delay of the control.
-	minServedRatio = 0.75
+	minServedRatio = 0.6
 )
 
 // sizeClass is the class of a job by its work within its kind.
@@ -87,7 +89,7 @@
 		value = 1
 	}
 	r.served[j.size] += servedWeight * (value - r.served[j.size])
-	r.servedAll += servedWeight * (value - r.servedAll)
+	r.servedAll += kindWeight * (value - r.servedAll)
 }
 
 // behind reports whether the large jobs of j's class are served too rarely, so that they
