--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -119,21 +119,21 @@
 
 // findOverload determines the overloaded pools.
 func (d *dispatcher) findOverload(now time.Time, pools map[string]*poolPlan) {
-	d.overload = make(map[string]bool, len(pools))
+	d.overloaded = make(map[string]int, len(pools))
 	for name, pool := range pools {
-		if demand := d.demand[name]; demand != nil && pool.capacity > 0 {
-			d.overload[name] = demand.overloaded(now, pool.capacity)
+		if demand := d.demand[name]; demand != nil && demand.exceeds(now, pool.capacity) {
+			d.overloaded[name] = pool.capacity
 		}
 	}
 }
 
-// overloadedPools returns the pools in which no late job is started, because jobs that can
-// end in time need all of their capacity: those that were overloaded in a recent plan.
-func (d *dispatcher) overloadedPools(now time.Time) map[string]bool {
+// overloadedPools returns the capacity of those pools that were overloaded in a recent plan,
+// in thousandths of a core.
+func (d *dispatcher) overloadedPools(now time.Time) map[string]int {
 	if now.Sub(d.plannedAt) > overloadMemory {
 		return nil
 	}
-	return d.overload
+	return d.overloaded
 }
 
 // hopelessReason returns the reason of the refusal of a job that cannot end in time.
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,7 +13,7 @@
 	demandTime = 500 * time.Millisecond
 	// maxDemandAhead is the largest share of the capacity that a forecast leaves to jobs
 	// that have not arrived yet.
-	maxDemandAhead = 0.95
+	maxDemandAhead = 0.9
 	// ranksPerDoubling is the number of ranks of jobs between a work and its double.
 	ranksPerDoubling = 4
 )
@@ -120,14 +120,29 @@
 	return 1 / (1 - min(work/demandTime.Seconds()/cores, maxDemandAhead))
 }
 
-// overloaded reports whether at least as much work arrives as the capacity, in thousandths of
+// exceeds reports whether at least as much work arrives as the capacity, in thousandths of
 // a core, can do.
-func (p *poolDemand) overloaded(now time.Time, capacity int) bool {
+func (p *poolDemand) exceeds(now time.Time, capacity int) bool {
 	p.decay(now)
 	if p.ranks == nil {
 		p.sum()
 	}
-	return p.total/demandTime.Seconds() >= float64(capacity)/1000
+	return capacity > 0 && p.total/demandTime.Seconds() >= float64(capacity)/1000
+}
+
+// moreUrgent returns the work of the jobs that are more urgent than j.
+func (m demand) moreUrgent(j *activeJob) float64 {
+	p := m[j.Pool]
+	if p == nil {
+		return 0
+	}
+	if p.ranks == nil {
+		p.sum()
+	}
+	if i, _ := slices.BinarySearchFunc(p.ranks, demandRank{j.Urgency, math.MinInt}, demandRank.compare); i < len(p.ranks) {
+		return p.before[i]
+	}
+	return p.total
 }
 
 // lessUrgent returns the number of urgencies of jobs that are less urgent than urgency.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -43,11 +43,11 @@
 	queue   queue
 	// plannedAt is when the queue was last planned.
 	plannedAt time.Time
-	// overload holds the pools that were overloaded then.
-	overload map[string]bool
-	demand   demand
-	sizes    sizes
-	ends     map[string]*keptEnd
+	// overloaded holds the capacity of the pools that were overloaded then.
+	overloaded map[string]int
+	demand     demand
+	sizes      sizes
+	ends       map[string]*keptEnd
 	// running maps a task to the worker on which it may be running, whether or not a
 	// job of this leader needs the run. A task in this map is not started.
 	running map[TaskID]*worker
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -220,6 +220,8 @@
 	// favored is set while the job gets the minimum share of its route, reserved while it
 	// is one of the next to get it, and first while large jobs of its kind come first.
 	favored, reserved, first bool
+	// crowdedOut is set while more urgent jobs need almost all capacity.
+	crowdedOut bool
 	// demandRank is the rank of the job in the demand for its pool, and rank the work of
 	// the waiting tasks when the queue was last sorted.
 	demandRank demandRank
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -284,13 +284,13 @@
 
 // A modelResult is what the callers of one kind got.
 type modelResult struct {
-	jobs, completed int
+	jobs int
 	// inTime is the share of the jobs that ended in time, and worth the mean worth by
 	// size.
 	inTime, worth float64
-	// largest and large are the shares in time of the largest tenth of the jobs and of
-	// the fifth below it.
-	largest, large float64
+	// served is the share of the jobs that completed, and largest and large those of the
+	// largest tenth of the jobs and of the fifth below it.
+	served, largest, large float64
 	// refused is the number of jobs that were refused at least once. median and latest
 	// are the times of the first refusals, latestShare the latest one as a share of the
 	// time to the objective.
@@ -326,9 +326,6 @@
 		weight := 0.3 + 0.7*j.work/mean
 		weights += weight
 		r.worth += weight * j.worth()
-		if j.end == dispatch.Completed {
-			r.completed++
-		}
 		if j.firstRefusedAt > 0 {
 			refusals = append(refusals, j.firstRefusedAt)
 			r.latestShare = max(r.latestShare, float64(j.firstRefusedAt)/float64(j.objective))
@@ -336,7 +333,9 @@
 	}
 	r.worth /= weights
 	n := len(jobs)
-	r.inTime, r.large, r.largest = inTime(jobs), inTime(jobs[n*7/10:n*9/10]), inTime(jobs[n*9/10:])
+	r.inTime = share(jobs, func(j *modelJob) bool { return j.worth() == 1 })
+	completed := func(j *modelJob) bool { return j.end == dispatch.Completed }
+	r.served, r.large, r.largest = share(jobs, completed), share(jobs[n*7/10:n*9/10], completed), share(jobs[n*9/10:], completed)
 	if r.refused = len(refusals); r.refused > 0 {
 		slices.Sort(refusals)
 		r.median, r.latest = refusals[len(refusals)/2], refusals[len(refusals)-1]
@@ -344,11 +343,11 @@
 	return r
 }
 
-// inTime returns the share of the jobs that ended in time.
-func inTime(jobs []*modelJob) float64 {
+// share returns the share of the jobs that meet a condition.
+func share(jobs []*modelJob, condition func(*modelJob) bool) float64 {
 	n := 0
 	for _, j := range jobs {
-		if j.worth() == 1 {
+		if condition(j) {
 			n++
 		}
 	}
@@ -357,7 +356,7 @@
 
 // String returns the results as a row of a table.
 func (r modelResult) String() string {
-	return fmt.Sprintf("%5d | %.3f | %.3f | %.3f | %.3f | %4d | %5.1f | %.2f", r.jobs, r.inTime, r.worth, r.large, r.largest,
+	return fmt.Sprintf("%5d | %.3f | %.3f | %.3f | %.3f | %.3f | %4d | %5.1f | %.2f", r.jobs, r.inTime, r.worth, r.served, r.large, r.largest,
 		r.refused, float64(r.median)/float64(time.Millisecond), r.latestShare)
 }
 
@@ -390,7 +389,7 @@
 	if !testing.Verbose() {
 		t.Skip("prints a table with -v")
 	}
-	t.Log("flood | kind | jobs | in time | worth | large | largest | refused | median ms | latest/objective")
+	t.Log("flood | kind | jobs | in time | worth | served | large | largest | refused | median ms | latest/objective")
 	for _, f := range modelFloods {
 		var during, after [3][]*modelJob
 		busy := 0.0
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -31,7 +31,7 @@
 	d.findOpenWorkers(now)
 	unplaced := 0
 	for _, j := range d.queue.jobs {
-		if !d.startable(now, j) || (j.late && !j.started && overloaded[j.Pool]) {
+		if !d.startable(now, j) || (overloaded[j.Pool] > 0 && d.blockedByOverload(j)) {
 			continue
 		}
 		if !d.placeJob(now, j) {
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -4,6 +4,9 @@
 	// minRouteShare is the share of a pool's capacity that each route may use under
 	// overload before more urgent routes, so that none is starved.
 	minRouteShare = 0.05
+	// crowdedOutDemand is the share of the capacity from which on more urgent jobs leave
+	// only a minimum share to a route.
+	crowdedOutDemand = 0.9
 )
 
 // favorRoutes marks, in each pool, the first queued jobs of those routes that use less than
@@ -23,7 +26,8 @@
 		share := minRouteShare * float64(p.capacity)
 		used := float64(p.inUse[j.Route])
 		lessUrgent := j.Urgency > p.mostUrgent && !j.late
-		favored := lessUrgent && used < share
+		favored := lessUrgent && ((j.favored && j.started) || used < j.shareLimit(share))
+		j.crowdedOut = d.crowdsOut(j, p.capacity)
 		j.reserved = lessUrgent && used < 2*share
 		first := d.sizes.behind(j)
 		if favored != j.favored || first != j.first {
@@ -37,3 +41,49 @@
 		}
 	}
 }
+
+// crowdsOut reports whether jobs that are more urgent than j need almost all of a pool's
+// capacity, in thousandths of a core.
+func (d *dispatcher) crowdsOut(j *activeJob, capacity int) bool {
+	return capacity > 0 && d.demand.moreUrgent(j)/demandTime.Seconds() >= crowdedOutDemand*float64(capacity)/1000
+}
+
+// shareLimit returns the use of capacity by the route of j up to which j is started for the
+// route's share: a job takes all of its resources, so that the mean use is the share. Large
+// jobs that are served too rarely are started at any use below the share.
+func (j *activeJob) shareLimit(share float64) float64 {
+	if j.first {
+		return share
+	}
+	needs := 0
+	for _, t := range j.waiting {
+		needs += j.Steps[t.id.Step].Needs.Millicores
+	}
+	return max(share-float64(needs)/2, 1)
+}
+
+// blockedByOverload reports whether j must not be started now although resources are free,
+// because its pool is overloaded: a job that is late, or a job of which only a part could be
+// started, and whose other tasks would then wait behind ever more urgent jobs until it is
+// late.
+func (d *dispatcher) blockedByOverload(j *activeJob) bool {
+	if j.started || j.favored {
+		return false
+	}
+	return j.late || (j.crowdedOut && !d.fitsWhole(j))
+}
+
+// fitsWhole reports whether the open workers have free processors for all waiting tasks of j.
+func (d *dispatcher) fitsWhole(j *activeJob) bool {
+	if len(j.waiting) < 2 {
+		return true
+	}
+	needs := max(j.Steps[j.waiting[0].id.Step].Needs.Millicores, 1)
+	fitting := 0
+	for _, w := range d.open {
+		if w.Pool == j.Pool {
+			fitting += w.free().Millicores / needs
+		}
+	}
+	return fitting >= len(j.waiting)
+}
