--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -14,6 +14,9 @@
 	// maxDemandAhead is the largest share of the capacity that a forecast leaves to jobs
 	// that have not arrived yet.
 	maxDemandAhead = 0.9
+	// overloadDemand is the share of the capacity from which on a pool is overloaded: the
+	// waits of jobs that can end in time grow fast beyond it.
+	overloadDemand = 0.85
 	// ranksPerDoubling is the number of ranks of jobs between a work and its double.
 	ranksPerDoubling = 4
 )
@@ -120,14 +123,14 @@
 	return 1 / (1 - min(work/demandTime.Seconds()/cores, maxDemandAhead))
 }
 
-// exceeds reports whether at least as much work arrives as the capacity, in thousandths of
-// a core, can do.
+// exceeds reports whether the work that arrives needs so much of the capacity, in thousandths
+// of a core, that the pool counts as overloaded.
 func (p *poolDemand) exceeds(now time.Time, capacity int) bool {
 	p.decay(now)
 	if p.ranks == nil {
 		p.sum()
 	}
-	return capacity > 0 && p.total/demandTime.Seconds() >= float64(capacity)/1000
+	return capacity > 0 && p.total/demandTime.Seconds() >= overloadDemand*float64(capacity)/1000
 }
 
 // moreUrgent returns the work of the jobs that are more urgent than j.
