--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -203,7 +203,7 @@
 	l.post(func(now time.Time, i *dispatch.Instance) { i.Submit(now, id, job) })
 	select {
 	case end := <-ends:
-		l.jobSeconds[end.State].Update(bootTime().Sub(job.Arrived).Seconds())
+		l.recordEnd(end, bootTime().Sub(job.Arrived))
 		return end, nil
 	case <-ctx.Done():
 		l.callers.remove(id)
@@ -214,6 +214,16 @@
 	}
 }
 
+// recordEnd updates the metrics with the end of a job and the time since its arrival.
+func (l *dispatchLoop) recordEnd(end dispatch.End, age time.Duration) {
+	l.jobSeconds[end.State].Update(age.Seconds())
+	if end.State != dispatch.NotRun {
+		return
+	}
+	l.cfg.Metrics.GetOrCreateCounter(`amaranthwell_jobs_refused_total{reason="` + end.Reason + `"}`).Inc()
+	l.cfg.Metrics.GetOrCreateHistogram("amaranthwell_refusal_seconds").Update(age.Seconds())
+}
+
 // logRefusal logs a request that was refused before it became a job.
 func (l *dispatchLoop) logRefusal(path, request string, status int, reason string) {
 	l.post(func(now time.Time, i *dispatch.Instance) {
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -143,6 +143,68 @@
 	is.Equal(s.effects.Starts[len(s.effects.Starts)-1].Task.Job, "5c0e7a21d94b36f9")
 }
 
+// release ends the run that occupies the worker.
+func (s *scriptedInstance) release() {
+	s.report.Finished = []dispatch.FinishedTask{{Sequence: 1, Task: s.report.Running[0].Task, Number: 1, Result: dispatch.RunSucceeded}}
+	s.report.Running = nil
+}
+
+// TestResubmittedJobKeepsItsObjective refuses a job, and submits it again after its objective
+// together with a larger one that can end in time. A job that counts as new with each
+// submission would take the worker from the one that is worth more.
+func TestResubmittedJobKeepsItsObjective(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	s.occupy("5c0e7a21d94b36f8", time.Second)
+	again := s.large("5c0e7a21d94b36f9", 1)
+	again.Route = "alerts"
+	s.Submit(s.now, 2, again)
+	s.advance(250 * time.Millisecond)
+	is.Equal(s.endsOf(again.ID)[0].State, dispatch.NotRun)
+	s.release()
+	s.advance(10 * time.Millisecond)
+	for _, poll := range s.effects.Polls[len(s.effects.Polls)-1:] {
+		s.PollDone(s.now, poll, s.report, dispatch.Accepted)
+	}
+	again.Arrived = s.now
+	larger := s.large("5c0e7a21d94b36fa", 1)
+	larger.Route, larger.Steps[0].Estimate = "alerts", 80*time.Millisecond
+	s.Submit(s.now, 3, again)
+	s.Submit(s.now, 4, larger)
+	s.advance(10 * time.Millisecond)
+	is.Equal(s.effects.Starts[len(s.effects.Starts)-1].Task.Job, larger.ID)
+}
+
+// TestLateJobsLeaveTheCapacityToOthers submits a refused job again after its objective, while
+// more work arrives than the worker can do and the worker happens to be free. A start would
+// delay the next jobs that can end in time.
+func TestLateJobsLeaveTheCapacityToOthers(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	s.occupy("5c0e7a21d94b36f8", time.Second)
+	again := s.large("5c0e7a21d94b36f9", 1)
+	again.Route = "alerts"
+	s.Submit(s.now, 2, again)
+	s.advance(250 * time.Millisecond)
+	is.Equal(s.endsOf(again.ID)[0].State, dispatch.NotRun)
+	s.report.Running[0].Percent = 10
+	for n := range 12 {
+		j := s.large(fmt.Sprintf("%016x", n+1), 1)
+		j.Route = "alerts"
+		s.Submit(s.now, dispatch.CallerID(n+10), j)
+	}
+	s.advance(10 * time.Millisecond)
+	starts := len(s.effects.Starts)
+	s.release()
+	again.Arrived = s.now
+	s.Submit(s.now, 3, again)
+	s.advance(30 * time.Millisecond)
+	is.Equal(len(s.effects.Starts), starts)
+	is.Equal(len(s.endsOf("5c0e7a21d94b36f8")), 1) // the worker is free
+}
+
 // TestNothingStartsForCallersThatHaveLeft queues jobs whose callers wait for 100 ms behind a
 // run, and frees the worker in the moment after that. A start then would waste capacity.
 func TestNothingStartsForCallersThatHaveLeft(t *testing.T) {
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -233,7 +233,7 @@
 	if end.State == Completed {
 		note = r.instance.effects.routine
 	}
-	note("job-answered", end.ID, "request", o.job.Request, "state", end.State, "reason", end.Reason, "age", now.Sub(o.job.Arrived), "leader", from)
+	note("job-answered", end.ID, "request", o.job.Request, "state", end.State, "reason", end.Reason, "age", now.Sub(o.job.Arrived), "leader", from, "retry-after", end.RetryAfter)
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, end)
