--- a/dispatch/floods_test.go
+++ b/dispatch/floods_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// TestLeastUrgentRouteKeepsItsShare floods the pool with jobs of the middle urgency, which
+// need much more than its capacity. Without a minimum share for each route, strict urgency
+// would starve the least urgent one.
+func TestLeastUrgentRouteKeepsItsShare(t *testing.T) {
+	is := is.New(t)
+	m := newLoadModel(11)
+	m.run(time.Second)
+	m.flood(time.Second, [3]float64{1, 5, 1})
+	begin := m.now
+	m.flood(8*time.Second, [3]float64{1, 5, 1})
+	end := m.now
+	m.run(2 * time.Second)
+	r := resultsOf(m.arrived(2, begin, end))
+	t.Log(r)
+	is.True(r.inTime > 0.1)
+	is.True(resultsOf(m.arrived(0, begin, end)).inTime > 0.95) // the most urgent jobs
+}
+
 // TestMostRefusalsOfAFloodAreEarly floods the pool with all kinds. Most refused jobs, of which
 // there are hundreds, are refused long before their time limit.
 func TestMostRefusalsOfAFloodAreEarly(t *testing.T) {
