--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -77,7 +77,8 @@
 	j.first = d.sizes.behind(j)
 	j.late = now.Add(d.minChainTime(j)).After(j.objective)
 	d.demand.add(now, j)
-	j.crowdedOut = d.crowdsOut(j, d.overloadedPools(now)[j.Pool])
+	capacity := d.overloadedPools(now)[j.Pool]
+	j.scarce, j.crowdedOut = d.scarceFor(j, capacity), d.crowdsOut(j, capacity)
 	d.adoptRuns(now, j)
 	return j
 }
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -133,8 +133,8 @@
 	return capacity > 0 && p.total/demandTime.Seconds() >= overloadDemand*float64(capacity)/1000
 }
 
-// moreUrgent returns the work of the jobs that are more urgent than j.
-func (m demand) moreUrgent(j *activeJob) float64 {
+// before returns the work of the jobs of j's pool that are more urgent than urgency.
+func (m demand) before(j *activeJob, urgency int) float64 {
 	p := m[j.Pool]
 	if p == nil {
 		return 0
@@ -142,7 +142,7 @@
 	if p.ranks == nil {
 		p.sum()
 	}
-	if i, _ := slices.BinarySearchFunc(p.ranks, demandRank{j.Urgency, math.MinInt}, demandRank.compare); i < len(p.ranks) {
+	if i, _ := slices.BinarySearchFunc(p.ranks, demandRank{urgency, math.MinInt}, demandRank.compare); i < len(p.ranks) {
 		return p.before[i]
 	}
 	return p.total
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -220,10 +220,13 @@
 	// favored is set while the job gets the minimum share of its route, reserved while it
 	// is one of the next to get it, and first while large jobs of its kind come first.
 	favored, reserved, first bool
+	// scarce is set while the capacity does not suffice for all jobs of the job's urgency
+	// and the more urgent ones.
+	scarce bool
 	// crowdedOut is set while more urgent jobs need almost all capacity.
 	crowdedOut bool
-	// demandRank is the rank of the job in the demand for its pool, and rank the work of
-	// the waiting tasks when the queue was last sorted.
+	// demandRank is the rank of the job in the demand for its pool, and rank that
+	// in the queue when it was last sorted.
 	demandRank demandRank
 	rank       float64
 	// planned is set once a plan of the queue contained the job, and forecast holds what
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -3,12 +3,15 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // queue holds the jobs with waiting tasks, in the order in which they get resources:
 // jobs that can still meet their objective first, then those of a route below its minimum
 // share, then by urgency, then jobs that have started, then large jobs of a kind whose large
-// jobs are served too rarely, then by the expected processor time of the waiting tasks.
+// jobs are served too rarely. Last, while the capacity suffices for all jobs of an urgency,
+// those that must start earliest come first, and otherwise those whose waiting tasks have the
+// least work.
 type queue struct {
 	jobs []*activeJob
 	// stale is set when the order of the jobs may have changed.
@@ -40,13 +43,21 @@
 	q.jobs = kept
 	if q.stale {
 		for _, j := range q.jobs {
-			j.rank = j.waitingWork()
+			j.rank = j.queueRank()
 		}
 		slices.SortFunc(q.jobs, compareJobs)
 		q.stale = false
 	}
 }
 
+// queueRank returns the rank of j among jobs that are equal otherwise.
+func (j *activeJob) queueRank() float64 {
+	if j.scarce {
+		return j.waitingWork()
+	}
+	return time.Duration(j.objective.Add(-j.chainTime).UnixNano()).Seconds()
+}
+
 func compareJobs(a, b *activeJob) int {
 	return cmp.Or(
 		compareBool(a.late, b.late),
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -29,9 +29,9 @@
 		favored := lessUrgent && ((j.favored && j.started) || used < j.shareLimit(share))
 		j.crowdedOut = d.crowdsOut(j, p.capacity)
 		j.reserved = lessUrgent && used < 2*share
-		first := d.sizes.behind(j)
-		if favored != j.favored || first != j.first {
-			j.favored, j.first = favored, first
+		first, scarce := d.sizes.behind(j), d.scarceFor(j, p.capacity)
+		if favored != j.favored || first != j.first || scarce != j.scarce {
+			j.favored, j.first, j.scarce = favored, first, scarce
 			d.queue.stale = true
 		}
 		if lessUrgent {
@@ -42,10 +42,16 @@
 	}
 }
 
+// scarceFor reports whether the jobs that are as urgent as j or more need almost all of a
+// pool's capacity, in thousandths of a core.
+func (d *dispatcher) scarceFor(j *activeJob, capacity int) bool {
+	return capacity > 0 && d.demand.before(j, j.Urgency+1)/demandTime.Seconds() >= overloadDemand*float64(capacity)/1000
+}
+
 // crowdsOut reports whether jobs that are more urgent than j need almost all of a pool's
 // capacity, in thousandths of a core.
 func (d *dispatcher) crowdsOut(j *activeJob, capacity int) bool {
-	return capacity > 0 && d.demand.moreUrgent(j)/demandTime.Seconds() >= crowdedOutDemand*float64(capacity)/1000
+	return capacity > 0 && d.demand.before(j, j.Urgency)/demandTime.Seconds() >= crowdedOutDemand*float64(capacity)/1000
 }
 
 // shareLimit returns the use of capacity by the route of j up to which j is started for the
