--- a/dispatch/floods_test.go
+++ b/dispatch/floods_test.go
@@ -77,6 +77,17 @@
 	is.True(resultsOf(m.arrived(0, begin, end)).inTime > 0.95) // the most urgent jobs
 }
 
+// TestUrgentJobsOfAllSizesAreServedInAFlood floods the pool with all kinds. The capacity
+// suffices for the most urgent kind, of which small jobs must not delay the large ones until
+// these are refused.
+func TestUrgentJobsOfAllSizesAreServedInAFlood(t *testing.T) {
+	is := is.New(t)
+	during, _ := floodResults([3]float64{2.2, 2.2, 2.2})
+	t.Log(during[0])
+	is.True(during[0].inTime > 0.985)
+	is.True(during[0].largest > 0.97)
+}
+
 // TestMostRefusalsOfAFloodAreEarly floods the pool with all kinds. Most refused jobs, of which
 // there are hundreds, are refused long before their time limit.
 func TestMostRefusalsOfAFloodAreEarly(t *testing.T) {
