--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -198,11 +198,12 @@
 	s.advance(10 * time.Millisecond)
 	starts := len(s.effects.Starts)
 	s.release()
+	s.advance(30 * time.Millisecond)
+	is.Equal(len(s.endsOf("5c0e7a21d94b36f8")), 1) // the worker is free
 	again.Arrived = s.now
 	s.Submit(s.now, 3, again)
-	s.advance(30 * time.Millisecond)
+	s.advance(10 * time.Millisecond)
 	is.Equal(len(s.effects.Starts), starts)
-	is.Equal(len(s.endsOf("5c0e7a21d94b36f8")), 1) // the worker is free
 }
 
 // TestNothingStartsForCallersThatHaveLeft queues jobs whose callers wait for 100 ms behind a
