--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -233,7 +233,7 @@
 	if end.State == Completed {
 		note = r.instance.effects.routine
 	}
-	note("job-answered", end.ID, "request", o.job.Request, "state", end.State, "reason", end.Reason, "age", now.Sub(o.job.Arrived), "leader", from, "retry-after", end.RetryAfter)
+	note("job-answered", end.ID, "request", o.job.Request, "state", end.State, "reason", end.Reason, "age", now.Sub(o.job.Arrived), "leader", from)
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, end)
@@ -289,7 +289,7 @@
 	if !o.everForwarded {
 		end = End{ID: id, State: NotRun, Reason: reason, RetryAfter: o.job.retryAfterRefusal(now)}
 	}
-	r.instance.effects.decide("job-"+end.State.String(), id, "request", o.job.Request, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived))
+	r.instance.effects.decide("job-"+end.State.String(), id, "request", o.job.Request, "route", o.job.Route, "reason", reason, "age", now.Sub(o.job.Arrived), "retry-after", end.RetryAfter)
 	for _, caller := range o.callers {
 		delete(r.callers, caller)
 		r.answer(caller, end)
