--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -23,11 +23,19 @@
 	if zone != home && from != d.self {
 		d.foreign.forwarded(now, from)
 	}
+	submitted := job.Arrived
 	kept := d.ends[job.ID]
-	if kept != nil && kept.end.State == Redirected && job.Zone != "" {
+	switch {
+	case kept == nil:
+	case kept.end.State == Redirected && job.Zone != "":
 		// The job has returned.
 		delete(d.ends, job.ID)
 		kept = nil
+	case kept.resubmitted(job):
+		// Its worth depends on the caller's first request.
+		job.Arrived = kept.arrived
+		delete(d.ends, job.ID)
+		kept = nil
 	}
 	if kept != nil {
 		kept.receivers = append(kept.receivers, from)
@@ -40,7 +48,7 @@
 			d.reportEnd(now, from, job.notServed("too-many-jobs"))
 			return
 		}
-		j = d.activate(now, job)
+		j = d.activate(now, job, submitted)
 		if zone != home {
 			d.effects.Redirects = append(d.effects.Redirects, Redirect{In: true, Zone: home})
 			d.effects.routine("job-redirect-accepted", job.ID, "from", home, "to", zone, "receiver", from, "round", job.EarlierLeaders)
@@ -67,13 +75,15 @@
 	return b
 }
 
-// activate adds job as an active job.
-func (d *dispatcher) activate(now time.Time, job Job) *activeJob {
+// activate adds job, which its caller submitted last at submitted, as an active job.
+func (d *dispatcher) activate(now time.Time, job Job, submitted time.Time) *activeJob {
 	j := newActiveJob(job)
+	j.submitted = submitted
 	d.jobs[job.ID] = j
 	var longest, nominal time.Duration
 	for _, step := range job.Steps {
 		expected := d.estimates.expectedRunTime(job.Route, step.Estimate)
+		j.runTimes = append(j.runTimes, expected)
 		longest += expected
 		nominal += d.estimates.nominalRunTime(job.Route, expected)
 		cores := float64(step.Needs.Millicores) / 1000
@@ -85,6 +95,12 @@
 	}
 	j.chainTime = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
+	j.size = d.sizes.classify(j)
+	j.first = d.sizes.behind(j)
+	j.late = now.Add(d.minChainTime(j)).After(j.objective)
+	d.demand.add(now, j)
+	capacity := d.overloadedPools(now)[j.Pool]
+	j.scarce, j.crowdedOut = d.scarceFor(j, capacity), d.crowdsOut(j, capacity)
 	d.adoptRuns(now, j)
 	return j
 }
@@ -149,7 +165,8 @@
 		return
 	}
 	d.dropJob(now, j)
-	kept := &keptEnd{end: end, at: now}
+	d.sizes.record(j, end.State == Completed)
+	kept := &keptEnd{end: end, at: now, arrived: j.Arrived}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
 	}
@@ -163,7 +180,9 @@
 		return
 	}
 	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
-		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed)
+		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed,
+		"objective", j.objective.Sub(j.Arrived), "start", j.forecast.start, "ahead", j.forecast.ahead,
+		"capacity", j.forecast.capacity, "retry-after", end.RetryAfter)
 }
 
 // dropJob removes a job and stops its runs.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -45,7 +45,13 @@
 	pollAny bool
 	jobs    map[string]*activeJob
 	queue   queue
-	ends    map[string]*keptEnd
+	// plannedAt is when the queue was last planned.
+	plannedAt time.Time
+	// overloaded holds the capacity of the pools that were overloaded then.
+	overloaded map[string]int
+	demand     demand
+	sizes      sizes
+	ends       map[string]*keptEnd
 	// running maps a task to the worker on which it may be running, whether or not a
 	// job of this leader needs the run. A task in this map is not started.
 	running map[TaskID]*worker
@@ -109,6 +115,14 @@
 	end       End
 	at        time.Time
 	receivers []netip.AddrPort
+	// arrived is when the job arrived from its caller for the first time.
+	arrived time.Time
+}
+
+// resubmitted reports whether job is a new submission of a job that was refused: a receiver
+// that has only missed the refusal marks the job as one that was forwarded before.
+func (k *keptEnd) resubmitted(job Job) bool {
+	return k.end.State == NotRun && job.EarlierLeaders == 0
 }
 
 func newDispatcher(self netip.AddrPort, runConfirmation time.Duration) *dispatcher {
@@ -123,6 +137,8 @@
 		running:         make(map[TaskID]*worker),
 		duplicates:      make(map[TaskID][]*worker),
 		estimates:       make(estimates),
+		demand:          make(demand),
+		sizes:           make(sizes),
 		topSpeed:        1,
 		former:          make(map[string]formerWorker),
 		runConfirmation: runConfirmation,
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -49,7 +49,7 @@
 	if j.EarlierLeaders > 0 {
 		return End{ID: j.ID, State: Overdue, Reason: reason}
 	}
-	return End{ID: j.ID, State: NotRun, Reason: reason, RetryAfter: retryAfter}
+	return End{ID: j.ID, State: NotRun, Reason: reason, RetryAfter: j.retryAfterRefusal(j.Arrived)}
 }
 
 // A Step is a group of identical tasks of a Job.
@@ -196,6 +196,9 @@
 	// foreign is set if the job was redirected from another zone and no receiver of this
 	// one has it.
 	foreign bool
+	// submitted is when the caller submitted the job last. Arrived is earlier if this
+	// leader has refused the job before.
+	submitted time.Time
 	// confirmedAt is the latest time at which a former receiver is known to have waited
 	// for the job, or zero.
 	confirmedAt time.Time
@@ -227,6 +230,26 @@
 	work      float64
 	chainTime time.Duration
 	objective time.Time
+	// runTimes are the expected run times of a task of each step on a worker of speed 1.
+	runTimes []time.Duration
+	// size is the class of the job by its work within its kind.
+	size sizeClass
+	// favored is set while the job gets the minimum share of its route, reserved while it
+	// is one of the next to get it, and first while large jobs of its kind come first.
+	favored, reserved, first bool
+	// scarce is set while the capacity does not suffice for all jobs of the job's urgency
+	// and the more urgent ones.
+	scarce bool
+	// crowdedOut is set while more urgent jobs need almost all capacity.
+	crowdedOut bool
+	// demandRank is the rank of the job in the demand for its pool, and rank that
+	// in the queue when it was last sorted.
+	demandRank demandRank
+	rank       float64
+	// planned is set once a plan of the queue contained the job, and forecast holds what
+	// the latest plan expected of it.
+	planned  bool
+	forecast forecast
 	// queued is set while the job is in the leader's queue.
 	queued bool
 	late   bool
@@ -241,7 +264,7 @@
 
 // maxWaitUntil returns the time until which the job may wait for its first start.
 func (j *activeJob) maxWaitUntil() time.Time {
-	return j.Arrived.Add(time.Duration(maxWaitShare * float64(j.objective.Sub(j.Arrived))))
+	return j.submitted.Add(time.Duration(maxWaitShare * float64(j.objective.Sub(j.Arrived))))
 }
 
 // notServed returns the end of a job that is given up.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -25,6 +25,7 @@
 	d.queue.sort()
 	d.checkObjectives(now)
 	d.refuseDrained(now)
+	overloaded := d.overloadedPools(now)
 	if len(d.queue.jobs) == 0 {
 		return
 	}
@@ -32,7 +33,7 @@
 	d.waitingAhead = false
 	unplaced := 0
 	for _, j := range d.queue.jobs {
-		if !d.startable(now, j) {
+		if !d.startable(now, j) || (overloaded[j.Pool] > 0 && d.blockedByOverload(j)) {
 			continue
 		}
 		if !d.placeJob(now, j) {
@@ -43,6 +44,7 @@
 			break
 		}
 	}
+	d.planQueue(now)
 }
 
 // findOpenWorkers determines the workers on which a task of a queued job might be started
@@ -88,6 +90,10 @@
 // runs that would end too late to be worth anything.
 func (d *dispatcher) checkObjectives(now time.Time) {
 	for _, j := range slices.Clone(d.queue.jobs) {
+		if !now.Before(j.CallerDeadline) {
+			d.dropExpired(now, j)
+			continue
+		}
 		best := d.minChainTime(j)
 		if !j.late && now.Add(best).After(j.objective) {
 			j.late = true
@@ -111,7 +117,11 @@
 	if d.redirectRefused(now, j) {
 		return
 	}
-	d.endJob(now, j, j.notServed(reason))
+	end := j.notServed(reason)
+	if end.State == NotRun {
+		end.RetryAfter = retryAfter(now, j.ID, j.forecast.start, j.retrySpread(), j.CallerDeadline)
+	}
+	d.endJob(now, j, end)
 }
 
 // minChainTime returns the expected run time of j's longest chain of tasks on a fast
