peer, dispatch: shards of zones, each led as a zone is

One leader of a zone of 1,000 workers has a connection or more to each. The workers of a zone are divided into shards, with a term, a leader and a succession of their own, if they are more than a leader can command. The number is decided by one leader, follows from the workers and the heaviest machine, and spreads with heartbeats. With one shard, nothing changes.

Tested: go test ./peer ./dispatch.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -58,8 +58,10 @@
 	reportEnd func(now time.Time, to netip.AddrPort, end End)
 	// onFenced is called with a zone whose workers have accepted a later leader.
 	onFenced func(now time.Time, zone string)
-	// zoneOf returns an instance's availability zone.
-	zoneOf func(netip.AddrPort) string
+	// zoneOf returns an instance's shard, which is its availability zone if that is not
+	// divided, and shardOf that of a worker.
+	zoneOf  func(netip.AddrPort) string
+	shardOf func(zone, id string) string
 	// workersReadAt returns when the worker table was last read from the store, or
 	// zero.
 	workersReadAt func() time.Time
@@ -111,7 +113,7 @@
 	d.led = nil
 	d.pollAny = true
 	for _, w := range d.sortedWorkers {
-		if w.Zone == zone {
+		if w.shard == zone {
 			w.polled = false
 			w.pollSent = time.Time{}
 			w.nextPoll = now
@@ -135,7 +137,7 @@
 		d.releaseJobsOf(now, zone)
 	}
 	for _, w := range d.sortedWorkers {
-		if !slices.Contains(zones, w.Zone) {
+		if !slices.Contains(zones, w.shard) {
 			continue
 		}
 		w.polled = false
@@ -170,7 +172,7 @@
 	d.led, d.pollDue = nil, nil
 	for i, w := range d.sortedWorkers {
 		fresh := newWorker(w.Worker)
-		fresh.speed = w.speed
+		fresh.speed, fresh.shard = w.speed, w.shard
 		d.sortedWorkers[i] = fresh
 		d.workers[w.ID] = fresh
 	}
@@ -181,6 +183,7 @@
 	w := d.workers[entry.ID]
 	if w == nil {
 		w = newWorker(entry)
+		w.shard = d.shardOf(entry.Zone, entry.ID)
 		d.workers[entry.ID] = w
 		i, _ := slices.BinarySearchFunc(d.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		d.sortedWorkers = slices.Insert(d.sortedWorkers, i, w)
@@ -193,6 +196,7 @@
 	}
 	restarted := w.Incarnation != entry.Incarnation || w.Address != entry.Address
 	w.Worker = entry
+	w.shard = d.shardOf(entry.Zone, entry.ID)
 	w.missingSince = time.Time{}
 	if restarted {
 		w.nextPoll = now
@@ -210,10 +214,10 @@
 // forgetWorker removes a worker, of a zone that this instance leads, that was missing for
 // missingWorkerTimeout while it could be polled, once nothing can run on it.
 func (d *dispatcher) forgetWorker(now time.Time, w *worker) {
-	if _, led := d.terms[w.Zone]; !led || w.missingSince.IsZero() {
+	if _, led := d.terms[w.shard]; !led || w.missingSince.IsZero() {
 		return
 	}
-	if now.Sub(later(w.missingSince, d.takenOver[w.Zone])) < missingWorkerTimeout || len(w.runs) > 0 {
+	if now.Sub(later(w.missingSince, d.takenOver[w.shard])) < missingWorkerTimeout || len(w.runs) > 0 {
 		return
 	}
 	d.dropWorker(w.ID)
@@ -241,7 +245,7 @@
 	}
 	d.led = make([]*worker, 0, len(d.sortedWorkers))
 	for _, w := range d.sortedWorkers {
-		if _, led := d.terms[w.Zone]; led {
+		if _, led := d.terms[w.shard]; led {
 			d.led = append(d.led, w)
 		}
 	}
@@ -252,7 +256,7 @@
 // worker has answered a poll, so that every run of an earlier leader is known.
 func (d *dispatcher) allPolled() bool {
 	for _, w := range d.sortedWorkers {
-		if _, led := d.terms[w.Zone]; !led || !w.polled {
+		if _, led := d.terms[w.shard]; !led || !w.polled {
 			return false
 		}
 	}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -23,6 +23,7 @@
 	if env.Beat != nil {
 		i.receiveHeartbeat(now, from, env)
 	}
+	i.followDeclaredShard(from, env.Zone)
 	for _, w := range env.Workers {
 		i.receiveWorker(now, from, w)
 	}
@@ -161,9 +162,11 @@
 // broadcast sends a heartbeat to the instances that are to receive one now.
 func (i *Instance) broadcast(now time.Time, heartbeat *peer.Beat) {
 	for _, addr := range i.leadership.Recipients(now) {
+		hears, members := i.leadership.Abridge(addr, heartbeat)
 		i.sendHeartbeat(addr, &peer.Beat{
-			Leads: heartbeat.Leads, Hears: heartbeat.Hears, Seeking: heartbeat.Seeking, Members: heartbeat.Members,
+			Leads: heartbeat.Leads, Hears: hears, Seeking: heartbeat.Seeking, Members: members,
 			Successor: heartbeat.Successor, Weight: heartbeat.Weight, TableRevision: heartbeat.TableRevision, LeaderPerZone: heartbeat.LeaderPerZone, SentNanos: heartbeat.SentNanos,
+			Shards: heartbeat.Shards,
 		})
 	}
 }
@@ -196,8 +199,9 @@
 	p := i.peer(from)
 	p.receivedRevision = max(p.receivedRevision, w.Revision)
 	i.leadership.SetTableAhead(from, p.receivedRevision < p.tableRevision)
-	if !i.tableCounts(now, from, w.Zone) && (w.Gone || !i.table.lacks(w.Id, w.Version)) {
-		p.ignore(w.Zone)
+	shard := i.leadership.ShardOfWorker(w.Zone, w.Id)
+	if !i.tableCounts(now, from, shard) && (w.Gone || !i.table.lacks(w.Id, w.Version)) {
+		p.ignore(shard)
 		return
 	}
 	if w.Gone {
@@ -234,7 +238,7 @@
 	env := i.outbox[addr]
 	if env == nil {
 		env = &peer.Envelope{
-			From: i.cfg.Self.String(), Incarnation: i.cfg.Incarnation, Zone: i.cfg.Zone, Leaving: i.leaving,
+			From: i.cfg.Self.String(), Incarnation: i.cfg.Incarnation, Zone: i.leadership.Shard(), Leaving: i.leaving,
 		}
 		i.outbox[addr] = env
 	}
--- /dev/null
+++ b/dispatch/export_test.go
@@ -0,0 +1,11 @@
+package dispatch
+
+import "time"
+
+// DecideShards changes the number of shards of each zone, whatever the workers call for.
+func (i *Instance) DecideShards(now time.Time, count int) { i.decideShards(now, count) }
+
+// ShardsFor is shardsFor.
+func ShardsFor(workers, instances, heaviest, present int) int {
+	return shardsFor(workers, instances, heaviest, present)
+}
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -49,6 +49,7 @@
 	behindSince, tablesRequestedAt time.Time
 
 	peers     map[netip.AddrPort]*peerState
+	shards    shardState
 	lastEvent time.Time
 	lastProbe time.Time
 	leaving   bool
@@ -72,11 +73,13 @@
 		peers:      make(map[netip.AddrPort]*peerState),
 		lastEvent:  now,
 	}
+	i.shards = shardState{count: 1, own: cfg.Zone}
 	i.receiver = newReceiver(now, i)
 	i.dispatcher.effects = &i.effects
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
 	i.dispatcher.zoneOf = i.leadership.Zone
+	i.dispatcher.shardOf = i.leadership.ShardOfWorker
 	i.dispatcher.workersReadAt = i.WorkersReadAt
 	i.dispatcher.confirmedBy = i.confirmedBy
 	i.dispatcher.mayCommand = i.leadership.MayCommand
@@ -148,6 +151,7 @@
 	i.advance(now)
 	i.expectedWorkers = workers
 	i.updateLeadership()
+	i.checkShards(now)
 }
 
 // updateLeadership sets the inputs of the leadership that depend on the workers:
@@ -258,7 +262,7 @@
 // HasLeader reports whether this instance's zone has a known leader from which a
 // heartbeat was received recently.
 func (i *Instance) HasLeader(now time.Time) bool {
-	_, ok := i.leadership.Claim(now, i.cfg.Zone)
+	_, ok := i.leadership.Claim(now, i.leadership.Shard())
 	return ok
 }
 
@@ -310,6 +314,7 @@
 func (i *Instance) Tick(now time.Time) {
 	i.advance(now)
 	i.updateLeadership()
+	i.checkShards(now)
 	if heartbeat := i.leadership.Tick(now); heartbeat != nil {
 		i.broadcast(now, heartbeat)
 	}
@@ -328,6 +333,7 @@
 	}
 	for _, addr := range slices.SortedFunc(maps.Keys(i.outbox), netip.AddrPort.Compare) {
 		i.peer(addr).withdrawals.addTo(now, i.outbox[addr])
+		i.outbox[addr].Zone = i.leadership.Shard()
 		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: i.outbox[addr]})
 	}
 	clear(i.outbox)
@@ -340,15 +346,16 @@
 // with their terms.
 func (i *Instance) followTerms(now time.Time) {
 	var ended []string
-	for _, zone := range i.cfg.Zones {
-		if _, leads := i.leadership.Leads(zone); !leads && i.dispatcher.terms[zone] != 0 {
+	for _, zone := range slices.Sorted(maps.Keys(i.dispatcher.terms)) {
+		if _, leads := i.leadership.Leads(zone); !leads {
 			ended = append(ended, zone)
 		}
 	}
 	if len(ended) > 0 {
 		i.dispatcher.dropTerms(now, ended)
 	}
-	for _, zone := range i.cfg.Zones {
+	i.followShards(now)
+	for _, zone := range i.leadership.Shards() {
 		if term, leads := i.leadership.Leads(zone); leads && i.dispatcher.terms[zone] != term {
 			i.dispatcher.setTerm(now, zone, term)
 		}
@@ -368,7 +375,7 @@
 		claim, _ := i.leadership.Claim(now, zone)
 		probes := 0
 		for _, w := range i.dispatcher.sortedWorkers {
-			if w.Zone != zone || probes == probesPerZone {
+			if w.shard != zone || probes == probesPerZone {
 				continue
 			}
 			probes++
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -54,7 +54,7 @@
 	}
 	d.open = d.open[:0]
 	for _, w := range d.ledWorkers() {
-		if w.usable(now) && !d.unreadZones[w.Zone] && w.free().fits(least) && d.startsAllowed(now, w) {
+		if w.usable(now) && !d.unreadZones[w.shard] && w.free().fits(least) && d.startsAllowed(now, w) {
 			d.open = append(d.open, w)
 		}
 	}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -44,7 +44,7 @@
 		due = d.ledWorkers()
 	}
 	for _, w := range due {
-		if _, led := d.terms[w.Zone]; led && d.workers[w.ID] == w {
+		if _, led := d.terms[w.shard]; led && d.workers[w.ID] == w {
 			d.pollIfDue(now, w)
 		}
 	}
@@ -52,7 +52,7 @@
 }
 
 func (d *dispatcher) pollIfDue(now time.Time, w *worker) {
-	if from, _ := d.mayCommand(now, w.Zone); now.Before(from) {
+	if from, _ := d.mayCommand(now, w.shard); now.Before(from) {
 		return
 	}
 	switch {
@@ -82,7 +82,7 @@
 // pollDone handles the outcome of poll.
 func (d *dispatcher) pollDone(now time.Time, poll Poll, report Report, outcome Outcome) {
 	w := d.workers[poll.Worker]
-	if w == nil || d.terms[w.Zone] != poll.Term {
+	if w == nil || d.terms[w.shard] != poll.Term {
 		return
 	}
 	latest := poll.Number == w.latestPoll
@@ -97,7 +97,7 @@
 			d.pollDue = append(d.pollDue, w)
 		}
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		d.onFenced(now, w.shard)
 	case OtherIncarnation:
 		d.concludeAllRuns(now, w, "other-life")
 		d.pollMissed(now, w, latest)
@@ -156,7 +156,7 @@
 		w.lastProcessed = f.Sequence
 		r := w.runs[f.Task]
 		known := r != nil && r.number == f.Number
-		if (!known || r.orphaned) && now.Sub(d.takenOver[w.Zone]) < orphanGracePeriod {
+		if (!known || r.orphaned) && now.Sub(d.takenOver[w.shard]) < orphanGracePeriod {
 			w.unclaimedEnds = append(w.unclaimedEnds, f)
 		}
 		if known {
@@ -167,7 +167,7 @@
 			d.taskSucceeded(now, j, f.Task)
 		}
 	}
-	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.Zone]) >= orphanGracePeriod {
+	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.shard]) >= orphanGracePeriod {
 		w.unclaimedEnds = nil
 	}
 }
@@ -318,7 +318,7 @@
 }
 
 func (d *dispatcher) checkRuns(now time.Time, w *worker) {
-	_, led := d.terms[w.Zone]
+	_, led := d.terms[w.shard]
 	if (w.missedPolls > 0 || !led || !w.polled) && w.allRunsExpired(now) {
 		d.concludeAllRuns(now, w, "lapsed")
 		return
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -58,6 +58,9 @@
 	if sim.apart {
 		kinds = 12
 	}
+	if sim.shards {
+		kinds = 16
+	}
 	kind := sim.random.IntN(kinds)
 	sim.note("fault %d at %v, %s, for %v", kind, n.address, f.entry.ID, lasts)
 	switch kind {
@@ -109,6 +112,8 @@
 		for range 30 {
 			sim.after(time.Duration(sim.random.Int64N(int64(lasts))), sim.instances[sim.random.IntN(len(sim.instances))].disconnectCaller)
 		}
+	case 12, 13, 14, 15:
+		sim.changeShards(n, kind == 15, lasts)
 	}
 }
 
@@ -232,6 +237,9 @@
 	if sim.apart {
 		leaders = len(simulationZones)
 	}
+	if sim.shards {
+		leaders *= 2
+	}
 	is.Equal(sim.countLeaders(), leaders) // one leader once the faults are over, or one for each zone
 
 	before := sim.nextJob
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -122,12 +122,12 @@
 // followLeader determines the present leader, and forwards all jobs to a new one.
 func (r *receiver) followLeader(now time.Time) {
 	i := r.instance
-	claim, fresh := i.leadership.Claim(now, i.cfg.Zone)
+	claim, fresh := i.leadership.Claim(now, i.leadership.Shard())
 	if !fresh || !claim.Leader.IsValid() {
 		if r.leaderlessSince.IsZero() {
 			r.leaderlessSince = now
 			r.formerLastSeen = claim.LastSeen
-			i.effects.decide("leader-lost", i.cfg.Zone, "leader", r.leader.Leader, "term", r.leader.Term, "heard", SinceOrNever(now, claim.LastSeen))
+			i.effects.decide("leader-lost", i.leadership.Shard(), "leader", r.leader.Leader, "term", r.leader.Term, "heard", SinceOrNever(now, claim.LastSeen))
 		}
 		if claim.Term != r.leader.Term {
 			r.leader = peer.Claim{}
@@ -140,7 +140,7 @@
 		return
 	}
 	r.leader = claim
-	i.effects.decide("leader", i.cfg.Zone, "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
+	i.effects.decide("leader", i.leadership.Shard(), "leader", claim.Leader, "term", claim.Term, "open-jobs", len(r.open))
 	earlierRunsEndBy := later(r.formerLastSeen, now).Add(earlierRunsTimeout)
 	if !r.formerLastSeen.IsZero() {
 		earlierRunsEndBy = r.formerLastSeen.Add(earlierRunsTimeout)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -8,8 +8,8 @@
 // commandTo returns the command header for w at now. If lease is set, and the worker's clock
 // and runs are known, it renews the lease of w as far as leaseLimit allows.
 func (d *dispatcher) commandTo(now time.Time, w *worker, lease bool) Command {
-	command := Command{Worker: w.ID, Address: w.Address, Term: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
-	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
+	command := Command{Worker: w.ID, Address: w.Address, Term: d.terms[w.shard], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
+	if _, until := d.mayCommand(now, w.shard); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
 	if !lease || !w.polled || w.clockAt.IsZero() {
@@ -77,11 +77,11 @@
 	r.state = runStopping
 	r.stopSent = now
 	r.stopClock = 0
-	if _, led := d.terms[w.Zone]; !led {
+	if _, led := d.terms[w.shard]; !led {
 		// The run ends when its lease expires.
 		return
 	}
-	if from, _ := d.mayCommand(now, w.Zone); now.Before(from) {
+	if from, _ := d.mayCommand(now, w.shard); now.Before(from) {
 		// The stop is issued again later.
 		return
 	}
@@ -180,7 +180,7 @@
 // startDone handles the outcome of a Start.
 func (d *dispatcher) startDone(now time.Time, s Start, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || d.terms[w.shard] != s.Term {
 		return
 	}
 	r := w.runs[s.Task]
@@ -202,7 +202,7 @@
 			d.pollNow(now, w)
 		}
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		d.onFenced(now, w.shard)
 	default:
 		d.startRefused(now, w, r, outcome)
 	}
@@ -230,7 +230,7 @@
 // stopDone handles the outcome of a Stop.
 func (d *dispatcher) stopDone(now time.Time, s Stop, outcome Outcome, clock time.Duration) {
 	w := d.workers[s.Worker]
-	if w == nil || d.terms[w.Zone] != s.Term {
+	if w == nil || d.terms[w.shard] != s.Term {
 		return
 	}
 	r := w.runs[s.Task]
@@ -242,6 +242,6 @@
 		r.stopClock = clock
 		d.pollNow(now, w)
 	case Fenced:
-		d.onFenced(now, w.Zone)
+		d.onFenced(now, w.shard)
 	}
 }
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -97,12 +97,28 @@
 	// apart is set if each zone has a leader of its own. One of eight tasks then runs
 	// for up to 3.6 s during the faults, and callers submit a job again to any zone.
 	apart bool
+	// shards is set, with apart, if each zone has twice as many instances and workers and is
+	// divided into two shards. Faults then also change the number of shards at single
+	// instances.
+	shards bool
 }
 
 // weightOfZone is the weight of an instance that can lead the workers of one zone, but not
 // those of two.
 const weightOfZone = 40
 
+// weightOfShard is the weight of an instance that can lead the workers of one shard of a
+// divided zone, but not those of two.
+const weightOfShard = 20
+
+// size returns the number of instances or workers of a zone, which is n if it is not divided.
+func (cfg simulationConfig) size(n int) int {
+	if cfg.shards {
+		return 2 * n
+	}
+	return n
+}
+
 func newSimulation(seed uint64) *simulation { return newSimulationOf(seed, simulationConfig{}) }
 
 func newSimulationOf(seed uint64, cfg simulationConfig) *simulation {
@@ -115,7 +131,7 @@
 		tablesSent:       make(map[netip.AddrPort]int),
 	}
 	for z, zone := range simulationZones {
-		for n := range workersPerZone {
+		for n := range cfg.size(workersPerZone) {
 			f := &fakeWorker{simulation: sim, entry: dispatch.Worker{
 				ID:       fmt.Sprintf("w-%d-%d", z, n),
 				Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 1, byte(n)}), 80),
@@ -128,9 +144,17 @@
 		}
 	}
 	for z := range simulationZones {
-		for n := range instancesPerZone {
+		for n := range cfg.size(instancesPerZone) {
 			node := &simulatedInstance{simulation: sim, zone: z, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(n)}), 70)}
 			sim.instances = append(sim.instances, node)
+			if !cfg.shards {
+				node.start()
+			}
+		}
+	}
+	if cfg.shards {
+		// Instances that know only some of the others assume another number of shards.
+		for _, node := range sim.instances {
 			node.start()
 		}
 	}
@@ -263,6 +287,9 @@
 
 // weight returns the weight of each instance, or 0 for the default.
 func (sim *simulation) weight() int {
+	if sim.shards {
+		return weightOfShard
+	}
 	if sim.apart {
 		return weightOfZone
 	}
--- a/dispatch/weight.go
+++ b/dispatch/weight.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/amaranthwell/amaranthwell/peer"
+
 const (
 	// linkBitsPerMillicore is the rate in bits per second that a leader needs on its link
 	// to use a thousandth of a core: commands, polls and answers of tasks need both.
@@ -14,6 +16,39 @@
 	defaultWeight = 800
 )
 
+// Limits of the shards of a zone.
+const (
+	// shardWorkersPerMillicore is the number of workers of a shard for each unit of the
+	// heaviest instance's weight above which the zone is divided further. It is above
+	// workersPerMillicore: an instance that leads one shard only exchanges nothing with the
+	// workers and the callers of others. With some four connections to each worker, a machine
+	// of weight 800 then needs 800 descriptors of 3,075 and 60 Mbit/s of 200 at most.
+	shardWorkersPerMillicore = 0.25
+	// instancesPerShard is the number of instances of the smallest zone for each shard that
+	// a further division needs, so that an instance can replace the leader of its shard. The
+	// loss of instances does not reduce the number of shards: other leaders take them over.
+	instancesPerShard = 2
+)
+
+// shardsFor returns the number of shards, a power of two, into which each zone is to be
+// divided if the largest zone has the given number of workers, the smallest one the given
+// number of instances, and the zones have present shards now. It halves the number only where
+// the result is clearly below the limit, so that it does not change back soon.
+func shardsFor(workers, instances, heaviest, present int) int {
+	if heaviest == 0 {
+		heaviest = defaultWeight
+	}
+	limit := max(shardWorkersPerMillicore*float64(heaviest), 1)
+	n := present
+	for n < peer.MaxShards && float64(workers) > float64(n)*limit && instances >= 2*n*instancesPerShard {
+		n *= 2
+	}
+	for n > 1 && float64(workers) <= float64(n/2)*limit*rejoinShare {
+		n /= 2
+	}
+	return n
+}
+
 // Weight returns the weight as a leader of an instance with the given processor capacity,
 // in thousandths of a core, and rate of its network link in bits per second: the smaller
 // of the capacity and of the part of it that the link can use. A rate of 0 is unlimited.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -119,6 +119,9 @@
 // worker is what a leader knows about a Worker.
 type worker struct {
 	Worker
+	// shard is the shard that contains the worker. It is the worker's zone if that is not
+	// divided. What a leader leads is a shard.
+	shard string
 	// polled is set once the worker has answered a poll of this leader.
 	polled      bool
 	incarnation int64
--- a/peer/confirmation.go
+++ b/peer/confirmation.go
@@ -33,7 +33,7 @@
 	}
 	confirmedAt, alone := c.LastSeen, true
 	for _, m := range l.members {
-		if zone != l.cfg.Zone && m.zone != zone {
+		if zone != l.shard && m.zone != zone {
 			continue
 		}
 		alone = false
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -12,12 +12,14 @@
 	if from == l.cfg.Self {
 		return nil
 	}
+	l.followSharding(now, b)
 	l.AddMember(now, from, zone)
+	l.DeclareShard(from, zone)
 	m := l.members[from]
 	if now.Sub(m.lastSeen) > LeaderTimeout {
 		m.seenSince = now
 	}
-	m.zone, m.lastSeen, m.leaving, m.weight, m.noWorkers = zone, now, leaving, int(b.Weight), b.TableRevision == 0
+	m.lastSeen, m.leaving, m.weight, m.noWorkers = now, leaving, int(b.Weight), b.TableRevision == 0
 	m.leaderPerZone = b.LeaderPerZone
 	if b.Reply {
 		m.repliedAt = now
@@ -49,6 +51,9 @@
 	}
 	reply := l.Heartbeat(now)
 	reply.Reply, reply.EchoNanos = true, b.SentNanos
+	if l.sharding.count > 1 && !b.Seeking {
+		reply.Hears = claimsTo(m.zone, reply.Hears)
+	}
 	return reply
 }
 
@@ -84,8 +89,9 @@
 		return
 	}
 	l.membersListedAt = now
+	l.memberLists++
 	for _, addr := range l.Members() {
-		if m := l.members[addr]; now.Sub(m.lastSeen) < forgetAfter {
+		if m := l.members[addr]; now.Sub(m.lastSeen) < forgetAfter && l.listed(m) {
 			heartbeat.Members = append(heartbeat.Members, &Member{Address: addr.String(), Zone: m.zone, Weight: uint32(m.weight)})
 		}
 	}
@@ -94,11 +100,11 @@
 // Heartbeat returns a heartbeat with this instance's current view. It is to be
 // sent at once, because the ages in it refer to now.
 func (l *Leadership) Heartbeat(now time.Time) *Beat {
-	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, LeaderPerZone: l.leaderPerZone, SentNanos: now.UnixNano()}
+	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, LeaderPerZone: l.leaderPerZone, SentNanos: now.UnixNano(), Shards: l.sharding.encode()}
 	if l.leaving && l.Leading() {
 		b.Successor = l.successor(now)
 	}
-	for _, zone := range l.cfg.Zones {
+	for _, zone := range l.shards {
 		c, ok := l.claims[zone]
 		switch {
 		case !ok || !c.Leader.IsValid():
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -115,8 +115,9 @@
 //
 // A Leadership is not safe for concurrent use: the control goroutine owns it.
 type Leadership struct {
-	cfg     LeadershipConfig
-	start   time.Time
+	cfg   LeadershipConfig
+	start time.Time
+	division
 	claims  map[string]Claim
 	members map[netip.AddrPort]*instanceInfo
 	// fencedTerm is the highest term of this instance that workers have refused
@@ -153,7 +154,10 @@
 
 // instanceInfo is what this process knows about another instance.
 type instanceInfo struct {
-	zone     string
+	// zone is the instance's shard, as it declared it or, until then, as assigned here.
+	zone string
+	// declared is the shard that the instance declared last, or "".
+	declared string
 	lastSeen time.Time
 	// repliedAt is when the instance's last reply to a heartbeat of this
 	// process arrived.
@@ -197,7 +201,9 @@
 		busyAt:          make(map[string]time.Time),
 		replaced:        make(map[string]netip.AddrPort),
 		leaderlessSince: now,
+		division:        division{sharding: sharding{count: 1}, shard: cfg.Zone, emptySince: make(map[string]time.Time)},
 	}
+	l.nameShards()
 	return l
 }
 
@@ -211,7 +217,7 @@
 		m.listedAt = now
 		return
 	}
-	l.members[addr] = &instanceInfo{zone: zone, listedAt: now}
+	l.members[addr] = &instanceInfo{zone: l.shardOfNew(zone), listedAt: now}
 }
 
 // SetWeight records the weight of the known instance at addr, as another
@@ -263,11 +269,11 @@
 	return time.Time{}
 }
 
-// Zone returns the availability zone of the instance at addr, or "" if the
-// instance is not known.
+// Zone returns the shard of the instance at addr, which is its availability zone
+// if that is not divided, or "" if the instance is not known.
 func (l *Leadership) Zone(addr netip.AddrPort) string {
 	if addr == l.cfg.Self {
-		return l.cfg.Zone
+		return l.shard
 	}
 	if m := l.members[addr]; m != nil {
 		return m.zone
@@ -325,7 +331,9 @@
 
 // SetLeaderPerZone sets whether each zone is to have a leader of its own,
 // because one instance could not lead all zones.
-func (l *Leadership) SetLeaderPerZone(enabled bool) { l.leaderPerZone = enabled }
+func (l *Leadership) SetLeaderPerZone(enabled bool) {
+	l.leaderPerZone = enabled || l.sharding.count > 1
+}
 
 // LeaderPerZone reports whether each zone is to have a leader of its own.
 func (l *Leadership) LeaderPerZone() bool { return l.leaderPerZone }
@@ -353,6 +361,10 @@
 			delete(l.members, addr)
 		}
 	}
+	if len(l.announceTo) > 0 {
+		return l.Heartbeat(now)
+	}
+	l.joinEmptyShard(now)
 	claimed := l.seekLeadership(now)
 	if l.Leading() && !l.leaving {
 		claimed = l.takeOverZones(now) || claimed
--- a/peer/recipients.go
+++ b/peer/recipients.go
@@ -17,14 +17,19 @@
 // the other leaders and, less often, to the instances of a zone of which it knows no live
 // leader. An instance that looks for a leader queries its zone and a few others.
 func (l *Leadership) Recipients(now time.Time) []netip.AddrPort {
+	if len(l.announceTo) > 0 {
+		to := l.announceTo
+		l.announceTo = nil
+		return to
+	}
 	all := l.Members()
 	if !l.leaderPerZone {
 		return all
 	}
-	near := map[string]bool{l.cfg.Zone: true}
+	near := map[string]bool{l.shard: true}
 	leaders := make(map[netip.AddrPort]bool)
 	unled := make(map[string]bool)
-	for _, zone := range l.cfg.Zones {
+	for _, zone := range l.shards {
 		c, known := l.claims[zone]
 		switch {
 		case known && c.Leader == l.cfg.Self:
@@ -82,7 +87,7 @@
 func (l *Leadership) preferredInstances() int {
 	preferred := 0
 	for addr, m := range l.members {
-		if m.leaving || (l.leaderPerZone && m.zone != l.cfg.Zone) || l.claims[l.cfg.Zone].Leader == addr {
+		if m.leaving || (l.leaderPerZone && m.zone != l.shard) || l.claims[l.shard].Leader == addr {
 			continue
 		}
 		if m.weight > l.cfg.Weight || (m.weight == l.cfg.Weight && addr.Compare(l.cfg.Self) < 0) {
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,7 +12,7 @@
 // which it named this instance as its successor.
 func (l *Leadership) claimFromLeaving(now time.Time, from netip.AddrPort, leads []*Lead) {
 	for _, lead := range leads {
-		if c := l.claims[lead.Zone]; c.Leader == from && c.Term == lead.Term {
+		if c := l.claims[lead.Zone]; c.Leader == from && c.Term == lead.Term && slices.Contains(l.shards, lead.Zone) {
 			l.claim(now, lead.Zone)
 		}
 	}
@@ -24,7 +25,7 @@
 	var best netip.AddrPort
 	for _, addr := range l.Members() {
 		m := l.members[addr]
-		if m.leaving || now.Sub(m.lastSeen) > LeaderTimeout || (l.leaderPerZone && m.zone != l.cfg.Zone) {
+		if m.leaving || now.Sub(m.lastSeen) > LeaderTimeout || (l.leaderPerZone && m.zone != l.shard) {
 			continue
 		}
 		if !best.IsValid() || m.ranksBefore(l.members[best]) {
@@ -63,24 +64,24 @@
 // A leader that wants one leader for all zones, because it counts fewer workers,
 // does not take the zone back: see shouldReplace.
 func (l *Leadership) reclaimOwnZone(now time.Time) bool {
-	c := l.claims[l.cfg.Zone]
+	c := l.claims[l.shard]
 	leader := l.members[c.Leader]
 	if !l.leaderPerZone || l.leaving || leader == nil || leader.tableAhead {
 		return false
 	}
 	light := float64(leader.weight)*replaceWeightRatio <= float64(l.cfg.Weight)
-	if leader.zone == l.cfg.Zone && !light {
+	if leader.zone == l.shard && !light {
 		return false
 	}
 	if leader.seenSince.IsZero() || now.Sub(leader.seenSince) < stableAfter {
 		return false
 	}
 	for addr, m := range l.members {
-		if m.zone == l.cfg.Zone && !m.leaving && now.Sub(m.listedAt) < 2*listMembersEvery && l.ranksBeforeSelf(addr, m) {
+		if m.zone == l.shard && !m.leaving && now.Sub(m.listedAt) < 2*listMembersEvery && l.ranksBeforeSelf(addr, m) {
 			return false
 		}
 	}
-	l.claim(now, l.cfg.Zone)
+	l.claim(now, l.shard)
 	return true
 }
 
@@ -88,7 +89,7 @@
 // this instance is to replace it, or if reclaimOwnZone applies. It reports
 // whether it made a claim.
 func (l *Leadership) seekLeadership(now time.Time) bool {
-	if c, ok := l.claims[l.cfg.Zone]; ok && l.isLive(now, c) {
+	if c, ok := l.claims[l.shard]; ok && l.isLive(now, c) {
 		l.leaderlessSince = time.Time{}
 		return l.reclaimOwnZone(now)
 	}
@@ -103,18 +104,18 @@
 	waited := now.Sub(l.leaderlessSince)
 	rank, confirmed := l.countReplies()
 	if !confirmed {
-		unknown := l.claims[l.cfg.Zone].Term == 0 && waited > unknownLeaderAfter
-		unused := len(l.members) == 0 || (!l.cfg.Unfenced && l.workersIdle(now, l.cfg.Zone))
+		unknown := l.claims[l.shard].Term == 0 && waited > unknownLeaderAfter
+		unused := len(l.members) == 0 || (!l.cfg.Unfenced && l.workersIdle(now, l.shard))
 		if waited < unconfirmedAfter || !(unused || unknown) {
 			return false
 		}
-		l.claim(now, l.cfg.Zone)
+		l.claim(now, l.shard)
 		return true
 	}
 	if waited < queryFor+time.Duration(rank)*rankDelay {
 		return false
 	}
-	l.replaceLeader(now, l.claims[l.cfg.Zone].Leader)
+	l.replaceLeader(now, l.claims[l.shard].Leader)
 	return true
 }
 
@@ -122,10 +123,10 @@
 // leader, it also claims the other zones that former led or that have no known
 // leader, if confirmedLeaderless holds for them.
 func (l *Leadership) replaceLeader(now time.Time, former netip.AddrPort) {
-	for _, zone := range l.cfg.Zones {
+	for _, zone := range l.shards {
 		c, ok := l.claims[zone]
 		claimable := !l.leaderPerZone && (!ok || c.Leader == former) && l.confirmedLeaderless(zone)
-		if zone == l.cfg.Zone || claimable {
+		if zone == l.shard || claimable {
 			l.claim(now, zone)
 		}
 	}
@@ -152,13 +153,13 @@
 		if !m.lastSeen.After(l.leaderlessSince) {
 			continue
 		}
-		if _, known := m.knownLeaders[l.cfg.Zone]; known {
+		if _, known := m.knownLeaders[l.shard]; known {
 			return 0, false
 		}
 		// Only a reply confirms: a query may have been sent before its sender
 		// found a leader.
 		confirmed = confirmed || m.repliedAt.After(l.leaderlessSince)
-		candidate := m.zone == l.cfg.Zone || !l.leaderPerZone
+		candidate := m.zone == l.shard || !l.leaderPerZone
 		if candidate && !m.leaving && l.ranksBeforeSelf(addr, m) {
 			rank++
 		}
@@ -172,7 +173,7 @@
 func (l *Leadership) takeOverZones(now time.Time) bool {
 	claimed := false
 	zoneCounts := l.zonesPerLeader()
-	for _, zone := range l.cfg.Zones {
+	for _, zone := range l.shards {
 		c, ok := l.claims[zone]
 		if ok && c.Leader == l.cfg.Self {
 			continue
@@ -224,10 +225,10 @@
 		return nil
 	}
 	var zones []string
-	for _, zone := range l.cfg.Zones {
+	for _, zone := range l.shards {
 		c := l.claims[zone]
 		unserved := l.Leading() && c.Leader != l.cfg.Self && l.unattended(now, zone, c)
-		ownZone := zone == l.cfg.Zone && !l.leaderlessSince.IsZero() && now.Sub(l.leaderlessSince) > unconfirmedAfter/2
+		ownZone := zone == l.shard && !l.leaderlessSince.IsZero() && now.Sub(l.leaderlessSince) > unconfirmedAfter/2
 		if unserved || ownZone {
 			zones = append(zones, zone)
 		}
@@ -321,7 +322,7 @@
 // claim makes this instance the leader of zone, with a term above all known
 // ones.
 func (l *Leadership) claim(now time.Time, zone string) {
-	var highest uint64
+	highest := l.pastTerm
 	for _, c := range l.claims {
 		highest = max(highest, c.Term)
 	}
@@ -343,7 +344,7 @@
 	}
 	l.claims[zone] = Claim{Leader: l.cfg.Self, Term: term, LastSeen: now}
 	l.remoteHeartbeatAt = time.Time{}
-	if zone == l.cfg.Zone {
+	if zone == l.shard {
 		l.leaderlessSince = time.Time{}
 	}
 }
