--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -55,6 +55,8 @@
 	// hasLeader is true if the zone of this instance has a leader, and leading
 	// is true if this instance leads a zone.
 	hasLeader, leading atomic.Bool
+	// shards is the division of the zones that the instance knows.
+	shards atomic.Pointer[dispatch.Shards]
 	// tablesReadAt and workersReadAt are those of the instance.
 	tablesReadAt, workersReadAt atomic.Pointer[time.Time]
 	// leadingChanged receives a value when leading changes, unless an earlier
@@ -90,6 +92,9 @@
 	}
 	cfg.Metrics.NewGauge("amaranthwell_zone_led", func() float64 { return gaugeValue(l.hasLeader.Load()) })
 	cfg.Metrics.NewGauge("amaranthwell_zone_leading", func() float64 { return gaugeValue(l.leading.Load()) })
+	cfg.Metrics.NewGauge("amaranthwell_shards", func() float64 { return float64(l.knownShards().Count) })
+	cfg.Metrics.NewGauge("amaranthwell_shard", func() float64 { return float64(l.knownShards().Index) })
+	cfg.Metrics.NewGauge("amaranthwell_shards_led", func() float64 { return float64(len(l.knownShards().Led)) })
 	cfg.Metrics.NewGauge("amaranthwell_tables_age_seconds", func() float64 { return ageSeconds(&l.tablesReadAt) })
 	cfg.Metrics.NewGauge("amaranthwell_workers_age_seconds", func() float64 { return ageSeconds(&l.workersReadAt) })
 	cfg.Metrics.NewGauge("amaranthwell_events_waiting", func() float64 { return float64(len(l.events)) })
@@ -151,12 +156,23 @@
 	}
 }
 
+// knownShards returns the division of the zones that the instance knows.
+func (l *dispatchLoop) knownShards() dispatch.Shards {
+	if shards := l.shards.Load(); shards != nil {
+		return *shards
+	}
+	return dispatch.Shards{Count: 1}
+}
+
 // publishState updates what other goroutines read of the instance, and signals a change
 // of leading.
 func (l *dispatchLoop) publishState(now time.Time, i *dispatch.Instance) {
 	storeTime(&l.tablesReadAt, i.TablesReadAt())
 	storeTime(&l.workersReadAt, i.WorkersReadAt())
 	l.hasLeader.Store(i.HasLeader(now))
+	if shards := i.Shards(); !shards.Equal(l.knownShards()) {
+		l.shards.Store(&shards)
+	}
 	if i.Leading() == l.leading.Load() {
 		return
 	}
--- a/dispatch/shards.go
+++ b/dispatch/shards.go
@@ -34,15 +34,23 @@
 type Shards struct {
 	// Count is the number of shards of each zone.
 	Count int
-	// Own is the name of the shard to which the instance belongs.
-	Own string
+	// Own is the name of the shard to which the instance belongs, and Index its number
+	// within its zone, from 0.
+	Own   string
+	Index int
 	// Led are the names of the shards that it leads, in order.
 	Led []string
 }
 
 // Shards returns the division of the zones.
 func (i *Instance) Shards() Shards {
-	return Shards{Count: i.shards.count, Own: i.shards.own, Led: slices.Sorted(maps.Keys(i.dispatcher.terms))}
+	index := max(slices.Index(i.leadership.Shards(), i.shards.own), 0) % i.shards.count
+	return Shards{Count: i.shards.count, Own: i.shards.own, Index: index, Led: slices.Sorted(maps.Keys(i.dispatcher.terms))}
+}
+
+// Equal reports whether s and t are equal.
+func (s Shards) Equal(t Shards) bool {
+	return s.Count == t.Count && s.Own == t.Own && slices.Equal(s.Led, t.Led)
 }
 
 // checkShards compares the number of shards with the one that the workers call for. The
--- a/peer/shards.go
+++ b/peer/shards.go
@@ -16,7 +16,10 @@
 
 // emptyShardTimeout is the time for which a shard must have had no instance before an
 // instance of another shard joins it.
-const emptyShardTimeout = 5 * time.Second
+const (
+	emptyShardTimeout       = 5 * time.Second
+	emptyShardCheckInterval = time.Second
+)
 
 // shardCountBits is the number of low bits of Beat.shards that hold the number of shards.
 // The others hold the revision.
@@ -62,8 +65,10 @@
 	pastTerm uint64
 	// announceTo are the instances that are to be told of a new number of shards at once.
 	announceTo []netip.AddrPort
-	// emptySince is since when the shards of the own zone without instances are empty.
-	emptySince map[string]time.Time
+	// emptySince is since when the shards of the own zone without instances are empty, and
+	// emptyCheckedAt when that was last determined.
+	emptySince     map[string]time.Time
+	emptyCheckedAt time.Time
 	// memberLists counts the member lists since the start.
 	memberLists int
 }
@@ -211,14 +216,35 @@
 	l.shard = l.cfg.Zone
 	open = append(open, l.cfg.Self)
 	slices.SortFunc(open, l.compareCandidates)
+	sizes := l.shardSizes()
 	for _, addr := range open {
 		if addr == l.cfg.Self {
-			l.shard = l.lightestShard(l.cfg.Zone)
+			l.shard = l.smallestShard(l.cfg.Zone, sizes)
+			sizes.add(l.shard, l.cfg.Weight)
 			continue
 		}
 		m := l.members[addr]
-		m.zone = l.lightestShard(m.zone)
+		m.zone = l.smallestShard(m.zone, sizes)
+		sizes.add(m.zone, m.weight)
+	}
+}
+
+// shardSizes holds, by shard, the number of known instances and the sum of their weights.
+type shardSizes struct{ counts, weights map[string]int }
+
+func (s shardSizes) add(shard string, weight int) {
+	s.counts[shard]++
+	s.weights[shard] += weight
+}
+
+// shardSizes returns the sizes of all shards, with this instance.
+func (l *Leadership) shardSizes() shardSizes {
+	sizes := shardSizes{counts: make(map[string]int), weights: make(map[string]int)}
+	sizes.add(l.shard, l.cfg.Weight)
+	for _, m := range l.members {
+		sizes.add(m.zone, m.weight)
 	}
+	return sizes
 }
 
 // compareCandidates orders instances for the assignment to shards: by weight, so that the
@@ -238,19 +264,17 @@
 	return l.members[addr].weight
 }
 
-// lightestShard returns the shard of zone whose instances have the least weight together,
-// or zone itself if it is not divided.
-func (l *Leadership) lightestShard(zone string) string {
+// smallestShard returns the shard of zone with the fewest instances and, of several, the one
+// whose instances have the least weight together. It returns zone itself if that is not
+// divided. Instances receive jobs, so that shards with equally many receive alike.
+func (l *Leadership) smallestShard(zone string, sizes shardSizes) string {
 	names := l.shardsOfZone[zone]
 	if len(names) < 2 {
 		return zone
 	}
-	weights := make(map[string]int, len(names))
-	weights[l.shard] += l.cfg.Weight + 1
-	for _, m := range l.members {
-		weights[m.zone] += m.weight + 1
-	}
-	return slices.MinFunc(names, func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })
+	return slices.MinFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(sizes.counts[a], sizes.counts[b]), cmp.Compare(sizes.weights[a], sizes.weights[b]))
+	})
 }
 
 // shardOfNew returns the shard of an instance that becomes known and that is listed with
@@ -259,7 +283,7 @@
 	if l.sharding.count == 1 || slices.Contains(l.shards, listed) {
 		return listed
 	}
-	return l.lightestShard(l.availabilityZone(listed))
+	return l.smallestShard(l.availabilityZone(listed), l.shardSizes())
 }
 
 // DeclareShard records the shard to which the instance at addr says that it belongs.
@@ -285,13 +309,11 @@
 // from leaders, of the shard with the most instances.
 func (l *Leadership) joinEmptyShard(now time.Time) {
 	names := l.shardsOfZone[l.cfg.Zone]
-	if len(names) < 2 || l.Leading() || l.leaving {
+	if len(names) < 2 || now.Sub(l.emptyCheckedAt) < emptyShardCheckInterval || l.Leading() || l.leaving {
 		return
 	}
-	counts := map[string]int{l.shard: 1}
-	for _, m := range l.members {
-		counts[m.zone]++
-	}
+	l.emptyCheckedAt = now
+	counts := l.shardSizes().counts
 	largest := slices.MaxFunc(names, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
 	for _, name := range names {
 		if counts[name] > 0 {
