--- a/dispatch/shards_test.go
+++ b/dispatch/shards_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"net/netip"
 	"strconv"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/amaranthwell/amaranthwell/dispatch"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // changeShards lets n decide on another number of shards, so that instances disagree until
@@ -92,3 +94,46 @@
 		is.Equal(dispatch.ShardsFor(test.workers, test.instances, test.heaviest, test.present), test.want)
 	}
 }
+
+// TestReceiverForgetsTheLeaderOfItsFormerShard moves an instance to a shard whose leader was
+// lost long before. The leader of its former shard may still be running its jobs: the time
+// after which no earlier run is running must not count from the loss of the other leader.
+func TestReceiverForgetsTheLeaderOfItsFormerShard(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.AddMember(s.now, firstLeader, "hr-north-a", 0)
+	s.AddMember(s.now, secondLeader, "hr-north-a", 0)
+	heartbeat := func(from netip.AddrPort, shard string, term uint64) {
+		s.Receive(s.now, from, &peer.Envelope{From: from.String(), Incarnation: 1, Zone: shard, Beat: &peer.Beat{
+			Leads: []*peer.Lead{{Zone: shard, Term: term}}, Shards: 1<<8 | 2, TableRevision: 1, LeaderPerZone: true,
+		}})
+	}
+	heartbeat(firstLeader, "hr-north-a/0of2", 1<<50)
+	former := s.Shards().Own
+	other := map[string]string{"hr-north-a/0of2": "hr-north-a/1of2", "hr-north-a/1of2": "hr-north-a/0of2"}[former]
+	heartbeat(secondLeader, other, 1<<50)
+	job := s.job("5c0e7a21d94b36f8")
+	for n := 0; s.Shards().Own == former && n < 400; n++ {
+		heartbeat(firstLeader, former, 1<<50+1)
+		if n == 150 {
+			job.Arrived, job.CallerDeadline = s.now, s.now.Add(30*time.Second)
+			s.Submit(s.now, 1, job)
+		}
+		s.advance(100 * time.Millisecond)
+	}
+	is.Equal(s.Shards().Own, other) // it has had no other instance for long
+	s.advance(100 * time.Millisecond)
+	s.effects = dispatch.Effects{}
+	heartbeat(secondLeader, other, 1<<51)
+	s.advance(20 * time.Millisecond)
+	forwarded := 0
+	for _, send := range s.effects.Sends {
+		for _, j := range send.Envelope.Jobs {
+			forwarded++
+			is.Equal(send.To, secondLeader)
+			is.Equal(j.Round, uint32(1))
+			is.True(time.Duration(j.SettleNanos) > time.Second)
+		}
+	}
+	is.Equal(forwarded, 1)
+}
--- a/peer/shards_test.go
+++ b/peer/shards_test.go
@@ -229,6 +229,23 @@
 	}
 }
 
+// TestTermsStayAboveThoseOfFormerShards guards against a new leader whose commands the workers
+// refuse, because they have seen a higher term from a leader of the undivided zone, by a clock
+// that was ahead.
+func TestTermsStayAboveThoseOfFormerShards(t *testing.T) {
+	is := is.New(t)
+	c := newShardCluster(4, 1)
+	const ahead = 1 << 60
+	for _, l := range c.members {
+		l.Receive(c.now, shardAddress(999), "hr-north-a", false, &Beat{Leads: []*Lead{{Zone: "hr-north-a", Term: ahead}}})
+		l.DecideShards(c.now, 2)
+	}
+	c.run(3 * time.Second)
+	term, leads := c.members[c.leaders()["hr-north-a/0of2"]].Leads("hr-north-a/0of2")
+	is.True(leads)
+	is.True(term > ahead)
+}
+
 // TestInstanceJoinsAnEmptyShard ends all instances of a shard. An instance of another shard of
 // the zone joins it and leads it.
 func TestInstanceJoinsAnEmptyShard(t *testing.T) {
