--- a/dispatch/shards_test.go
+++ b/dispatch/shards_test.go
@@ -137,3 +137,36 @@
 	}
 	is.Equal(forwarded, 1)
 }
+
+// TestWorkersStayInUseAfterAChangeOfTheNumberOfShards lets the only instance of a system divide
+// its zone while the store does not list the workers again. It leads both shards, one after
+// the other, and polls all workers, each as one of its shard.
+func TestWorkersStayInUseAfterAChangeOfTheNumberOfShards(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	const workers = 8
+	for n := range workers {
+		s.SetWorker(s.now, dispatch.Worker{
+			ID: "w-" + strconv.Itoa(n), Address: netip.MustParseAddrPort("10.0.1.1:80"), Pool: "editor", Zone: "hr-north-a",
+			Capacity: dispatch.Resources{Millicores: 9000, Memory: 100},
+		})
+	}
+	s.advance(4 * time.Second)
+	is.Equal(s.Shards().Led, []string{"hr-north-a"})
+	s.DecideShards(s.now, 2)
+	s.take()
+	is.Equal(s.Shards().Led, nil)
+	s.effects = dispatch.Effects{}
+	s.advance(4 * time.Second)
+	is.Equal(s.Shards().Led, []string{"hr-north-a/0of2", "hr-north-a/1of2"})
+	terms := make(map[uint64]int)
+	polled := make(map[string]bool)
+	for _, poll := range s.effects.Polls {
+		if poll.Number > 0 && !polled[poll.Worker] {
+			polled[poll.Worker] = true
+			terms[poll.Term]++
+		}
+	}
+	is.Equal(len(polled), workers)
+	is.Equal(len(terms), 2) // one for each shard
+}
--- a/peer/shards_test.go
+++ b/peer/shards_test.go
@@ -278,6 +278,11 @@
 	delete(c.members, c.order[0])
 	c.run(3 * time.Second)
 	late.AssumeShards(c.now, 8)
+	for _, addr := range c.leaders() {
+		c.members[addr].Receive(c.now, c.order[0], shardZones[0], false, &Beat{Seeking: true, Shards: late.Heartbeat(c.now).Shards})
+		count, _ := c.members[addr].ShardCount()
+		is.Equal(count, 1)
+	}
 	c.members[c.order[0]] = late
 	c.run(3 * time.Second)
 	for _, l := range c.members {
