peer: zones are not divided beside instances that do not know shards

During an update, instances of an earlier version would find their zone without a leader and replace the leaders of its shards. Beat.shards is 0 only from such instances and from leaders of such followers; the deciding leader waits for them.

Tested: go test ./peer.

--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -20,7 +20,7 @@
 		m.seenSince = now
 	}
 	m.lastSeen, m.leaving, m.weight, m.noWorkers = now, leaving, int(b.Weight), b.TableRevision == 0
-	m.leaderPerZone = b.LeaderPerZone
+	m.leaderPerZone, m.withoutShards = b.LeaderPerZone, b.Shards == 0
 	if b.Reply {
 		m.repliedAt = now
 	}
@@ -100,7 +100,7 @@
 // Heartbeat returns a heartbeat with this instance's current view. It is to be
 // sent at once, because the ages in it refer to now.
 func (l *Leadership) Heartbeat(now time.Time) *Beat {
-	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, LeaderPerZone: l.leaderPerZone, SentNanos: now.UnixNano(), Shards: l.sharding.encode()}
+	b := &Beat{Weight: uint32(l.cfg.Weight), TableRevision: l.tableRevision, LeaderPerZone: l.leaderPerZone, SentNanos: now.UnixNano(), Shards: l.encodedSharding(now)}
 	if l.leaving && l.Leading() {
 		b.Successor = l.successor(now)
 	}
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -158,7 +158,9 @@
 	zone string
 	// declared is the shard that the instance declared last, or "".
 	declared string
-	lastSeen time.Time
+	// withoutShards is set if the instance's version does not know shards.
+	withoutShards bool
+	lastSeen      time.Time
 	// repliedAt is when the instance's last reply to a heartbeat of this
 	// process arrived.
 	repliedAt time.Time
--- a/peer/shards.go
+++ b/peer/shards.go
@@ -36,14 +36,10 @@
 }
 
 // encode returns s as Beat.shards.
-func (s sharding) encode() uint32 {
-	if s.revision == 0 && s.count == 1 {
-		return 0
-	}
-	return s.revision<<shardCountBits | uint32(s.count)
-}
+func (s sharding) encode() uint32 { return s.revision<<shardCountBits | uint32(s.count) }
 
-// decodeSharding decodes Beat.shards. It returns false if the number of shards is not valid.
+// decodeSharding decodes Beat.shards, which is 0 if the sender's version does not know shards.
+// It returns false if the number of shards is not valid.
 func decodeSharding(encoded uint32) (sharding, bool) {
 	if encoded == 0 {
 		return sharding{count: 1}, true
@@ -134,7 +130,7 @@
 // shards: the leader of the first shard that has a live leader. Unfenced workers are not
 // divided, because instances that know different numbers may command the same worker.
 func (l *Leadership) DecidesShards(now time.Time) bool {
-	if l.cfg.Unfenced || l.leaving {
+	if l.cfg.Unfenced || l.leaving || l.hearsWithoutShards(now, true) {
 		return false
 	}
 	for _, shard := range l.shards {
@@ -145,6 +141,27 @@
 	return false
 }
 
+// hearsWithoutShards reports whether an instance is live whose version does not know shards: it
+// would take the place of the leaders of the shards of its zone. A leader says in its heartbeats
+// whether one of its followers is such an instance. Other leaders count only if leaders is set,
+// so that two of them do not refer to each other.
+func (l *Leadership) hearsWithoutShards(now time.Time, leaders bool) bool {
+	for _, m := range l.members {
+		if m.withoutShards && now.Sub(m.lastSeen) < LeaderTimeout && (leaders || len(m.leads) == 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// encodedSharding returns Beat.shards of a heartbeat that is sent at now.
+func (l *Leadership) encodedSharding(now time.Time) uint32 {
+	if l.sharding == (sharding{count: 1}) && l.Leading() && l.hearsWithoutShards(now, false) {
+		return 0
+	}
+	return l.sharding.encode()
+}
+
 // DecideShards sets the number of shards for all instances. They learn of it from
 // heartbeats.
 func (l *Leadership) DecideShards(now time.Time, count int) {
--- a/peer/shards_test.go
+++ b/peer/shards_test.go
@@ -22,6 +22,8 @@
 	// sent and received count the heartbeats of each instance, with the replies, and
 	// sentBytes their size.
 	sent, received, sentBytes map[netip.AddrPort]int
+	// withoutShards is an instance of a version that does not know shards, or zero.
+	withoutShards netip.AddrPort
 }
 
 // shardAddress returns the address of the nth instance.
@@ -87,6 +89,9 @@
 }
 
 func (c *shardCluster) deliver(from, to netip.AddrPort, heartbeat *Beat) {
+	if from == c.withoutShards {
+		heartbeat.Shards = 0
+	}
 	c.sent[from]++
 	c.sentBytes[from] += proto.Size(heartbeat)
 	if c.members[to] == nil {
@@ -291,6 +296,34 @@
 	}
 }
 
+// TestZonesAreNotDividedDuringAnUpdate guards against leaders of shards beside instances of a
+// version that does not know shards, which would replace them. One such instance, a follower in
+// another zone than that of the leader who decides, keeps the zones undivided.
+func TestZonesAreNotDividedDuringAnUpdate(t *testing.T) {
+	is := is.New(t)
+	c := newShardCluster(4, 1)
+	for _, l := range c.members {
+		l.SetLeaderPerZone(true)
+	}
+	decides := func() bool {
+		c.run(2 * time.Second)
+		return slices.ContainsFunc(c.order, func(addr netip.AddrPort) bool { return c.members[addr].DecidesShards(c.now) })
+	}
+	is.True(decides())
+	leaders := c.leaders()
+	is.Equal(len(leaders), len(shardZones))
+	var follower netip.AddrPort
+	for _, addr := range c.order {
+		if l := c.members[addr]; l.Shard() == "hr-north-c" && !l.Leading() {
+			follower = addr
+		}
+	}
+	c.withoutShards = follower
+	is.True(!decides())
+	c.withoutShards = netip.AddrPort{}
+	is.True(decides())
+}
+
 // TestUnfencedWorkersAreNotDivided guards against instances that command the same worker, which
 // accepts any term, because they know different numbers of shards.
 func TestUnfencedWorkersAreNotDivided(t *testing.T) {
