--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -259,13 +259,6 @@
 // to read the worker table.
 func (i *Instance) Leading() bool { return i.leadership.Leading() }
 
-// HasLeader reports whether this instance's zone has a known leader from which a
-// heartbeat was received recently.
-func (i *Instance) HasLeader(now time.Time) bool {
-	_, ok := i.leadership.Claim(now, i.leadership.Shard())
-	return ok
-}
-
 // Leave begins a shutdown: this instance gives up leadership to others.
 func (i *Instance) Leave(now time.Time) {
 	i.advance(now)
--- a/dispatch/shards.go
+++ b/dispatch/shards.go
@@ -53,6 +53,13 @@
 	return s.Count == t.Count && s.Own == t.Own && slices.Equal(s.Led, t.Led)
 }
 
+// HasLeader reports whether this instance's shard has a known leader from which a
+// heartbeat was received recently.
+func (i *Instance) HasLeader(now time.Time) bool {
+	_, ok := i.leadership.Claim(now, i.leadership.Shard())
+	return ok
+}
+
 // checkShards compares the number of shards with the one that the workers call for. The
 // instance that decides changes it if it has read the worker table lately; one that has just
 // started, and knows no decision, assumes it.
