--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -56,6 +56,8 @@
 	// hasLeader is true if the zone of this instance has a leader, and leading
 	// is true if this instance leads a zone.
 	hasLeader, leading atomic.Bool
+	// shards is the division of the zones that the instance knows.
+	shards atomic.Pointer[dispatch.Shards]
 	// tablesReadAt and workersReadAt are those of the instance.
 	tablesReadAt, workersReadAt atomic.Pointer[time.Time]
 	drained                     *drainedState
@@ -95,6 +97,9 @@
 	}
 	cfg.Metrics.NewGauge("amaranthwell_zone_led", func() float64 { return gaugeValue(l.hasLeader.Load()) })
 	cfg.Metrics.NewGauge("amaranthwell_zone_leading", func() float64 { return gaugeValue(l.leading.Load()) })
+	cfg.Metrics.NewGauge("amaranthwell_shards", func() float64 { return float64(l.knownShards().Count) })
+	cfg.Metrics.NewGauge("amaranthwell_shard", func() float64 { return float64(l.knownShards().Index) })
+	cfg.Metrics.NewGauge("amaranthwell_shards_led", func() float64 { return float64(len(l.knownShards().Led)) })
 	cfg.Metrics.NewGauge("amaranthwell_tables_age_seconds", func() float64 { return ageSeconds(&l.tablesReadAt) })
 	cfg.Metrics.NewGauge("amaranthwell_workers_age_seconds", func() float64 { return ageSeconds(&l.workersReadAt) })
 	cfg.Metrics.NewGauge("amaranthwell_events_waiting", func() float64 { return float64(len(l.events)) })
@@ -120,6 +125,7 @@
 				return
 			case <-ticker.C:
 				instance.Tick(bootTime())
+				l.publishShards(instance)
 			case event := <-l.events:
 				now := bootTime()
 				event(now, instance)
@@ -157,6 +163,21 @@
 	}
 }
 
+// knownShards returns the division of the zones that the instance knows.
+func (l *dispatchLoop) knownShards() dispatch.Shards {
+	if shards := l.shards.Load(); shards != nil {
+		return *shards
+	}
+	return dispatch.Shards{Count: 1}
+}
+
+// publishShards updates the division of the zones that other goroutines read.
+func (l *dispatchLoop) publishShards(i *dispatch.Instance) {
+	if shards := i.Shards(); !shards.Equal(l.knownShards()) {
+		l.shards.Store(&shards)
+	}
+}
+
 // publishState updates what other goroutines read of the instance, and signals a change
 // of leading.
 func (l *dispatchLoop) publishState(now time.Time, i *dispatch.Instance) {
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -148,7 +148,7 @@
 func (d *dispatcher) planPools(now time.Time) map[string]*poolPlan {
 	pools := make(map[string]*poolPlan)
 	for _, w := range d.ledWorkers() {
-		if w.Leaving || w.gone(now) || d.unreadZones[w.Zone] || !d.drained.allow(w.Zone) {
+		if w.Leaving || w.gone(now) || d.unreadZones[w.shard] || !d.drained.allow(w.Zone) {
 			continue
 		}
 		p := pools[w.Pool]
--- a/dispatch/exchange_redirects.go
+++ b/dispatch/exchange_redirects.go
@@ -39,7 +39,7 @@
 // otherLeaders returns the other instances that are known to lead a zone.
 func (i *Instance) otherLeaders(now time.Time) map[netip.AddrPort]bool {
 	leaders := make(map[netip.AddrPort]bool)
-	for _, zone := range i.cfg.Zones {
+	for _, zone := range i.leadership.Shards() {
 		if claim, fresh := i.leadership.Claim(now, zone); fresh && claim.Leader != i.cfg.Self {
 			leaders[claim.Leader] = true
 		}
@@ -62,7 +62,7 @@
 	if i.dispatcher.foreign[addr] == nil {
 		return false
 	}
-	for _, zone := range i.cfg.Zones {
+	for _, zone := range i.leadership.Shards() {
 		if claim, _ := i.leadership.Claim(i.lastEvent, zone); claim.Leader == addr {
 			return false
 		}
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -101,6 +101,7 @@
 		m.arrivals[kind] = rand.New(rand.NewPCG(seed, 10+uint64(kind)))
 	}
 	m.Instance = dispatch.NewInstance(m.now, dispatch.Config{Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: m.now})
+	m.SetDrainedZones(m.now, 1, nil)
 	for n := range modelWorkers {
 		id := fmt.Sprintf("w-%02d", n)
 		m.workers[id] = &modelWorker{speed: 0.75 + 0.5*m.random.Float64(), runs: make(map[dispatch.TaskID]modelRun)}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -59,7 +59,7 @@
 	}
 	d.open = d.open[:0]
 	for _, w := range d.ledWorkers() {
-		if d.available(now, w) && !d.unreadZones[w.Zone] && w.free().fits(least) && d.startsAllowed(now, w) {
+		if d.available(now, w) && !d.unreadZones[w.shard] && w.free().fits(least) && d.startsAllowed(now, w) {
 			d.open = append(d.open, w)
 		}
 	}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -50,7 +50,7 @@
 		due = d.ledWorkers()
 	}
 	for _, w := range due {
-		if _, led := d.terms[w.Zone]; led && d.workers[w.ID] == w {
+		if _, led := d.terms[w.shard]; led && d.workers[w.ID] == w {
 			d.pollIfDue(now, w)
 		}
 	}
@@ -58,7 +58,7 @@
 }
 
 func (d *dispatcher) pollIfDue(now time.Time, w *worker) {
-	if from, _ := d.mayCommand(now, w.Zone); now.Before(from) {
+	if from, _ := d.mayCommand(now, w.shard); now.Before(from) {
 		return
 	}
 	switch {
@@ -107,7 +107,7 @@
 		}
 	case Fenced:
 		if d.fencedByLeader(w, poll.Command) {
-			d.onFenced(now, w.Zone)
+			d.onFenced(now, w.shard)
 			return
 		}
 		d.pollDue = append(d.pollDue, w)
@@ -183,7 +183,7 @@
 		w.lastProcessed = f.Sequence
 		r := w.runs[f.Task]
 		known := r != nil && r.number == f.Number
-		if (!known || r.orphaned) && now.Sub(d.takenOver[w.Zone]) < orphanGracePeriod {
+		if (!known || r.orphaned) && now.Sub(d.takenOver[w.shard]) < orphanGracePeriod {
 			w.unclaimedEnds = append(w.unclaimedEnds, f)
 		}
 		if known {
@@ -194,7 +194,7 @@
 			d.taskSucceeded(now, j, f.Task)
 		}
 	}
-	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.Zone]) >= orphanGracePeriod {
+	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.shard]) >= orphanGracePeriod {
 		w.unclaimedEnds = nil
 	}
 }
@@ -354,7 +354,7 @@
 }
 
 func (d *dispatcher) checkRuns(now time.Time, w *worker) {
-	_, led := d.terms[w.Zone]
+	_, led := d.terms[w.shard]
 	if (w.missedPolls > 0 || !led || !w.polled) && w.allRunsExpired(now) {
 		d.concludeAllRuns(now, w, "lapsed")
 		return
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -67,6 +67,9 @@
 	if sim.apart {
 		kinds = 12
 	}
+	if sim.shards {
+		kinds = 16
+	}
 	kind := sim.random.IntN(kinds)
 	sim.note("fault %d at %v, %s, for %v", kind, n.address, f.entry.ID, lasts)
 	switch kind {
@@ -118,6 +121,8 @@
 		for range 30 {
 			sim.after(time.Duration(sim.random.Int64N(int64(lasts))), sim.instances[sim.random.IntN(len(sim.instances))].disconnectCaller)
 		}
+	case 12, 13, 14, 15:
+		sim.changeShards(n, kind == 15, lasts)
 	}
 }
 
@@ -253,11 +258,17 @@
 		sim.after(time.Duration(sim.random.Int64N(int64(faultTime))), sim.injectFault)
 	}
 	sim.run(faultTime + recoveryTime)
+	if sim.shards {
+		sim.run(shardRecoveryTime)
+	}
 	sim.checkRefusals()
 	leaders := 1
 	if sim.apart {
 		leaders = len(simulationZones)
 	}
+	if sim.shards {
+		leaders *= 2
+	}
 	is.Equal(sim.countLeaders(), leaders) // one leader once the faults are over, or one for each zone
 
 	before := sim.nextJob
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -142,7 +142,8 @@
 }
 
 // dataZone returns the zone of the racks that j names, or an empty string if it names none
-// or racks of several zones.
+// or racks of several zones, or if the zones are divided into shards: the workers of a rack
+// belong to several.
 func (d *dispatcher) dataZone(j *activeJob) string {
 	found := ""
 	for _, step := range j.Steps {
@@ -150,7 +151,10 @@
 			continue
 		}
 		n := slices.IndexFunc(d.sortedWorkers, func(w *worker) bool { return w.Rack == step.Rack })
-		if n < 0 || (found != "" && found != d.sortedWorkers[n].Zone) {
+		if n < 0 || d.sortedWorkers[n].shard != d.sortedWorkers[n].Zone {
+			return ""
+		}
+		if found != "" && found != d.sortedWorkers[n].Zone {
 			return ""
 		}
 		found = d.sortedWorkers[n].Zone
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -8,8 +8,8 @@
 // commandTo returns the command header for w at now. If lease is set, and the worker's clock
 // and runs are known, it renews the lease of w as far as leaseLimit allows.
 func (d *dispatcher) commandTo(now time.Time, w *worker, lease bool) Command {
-	command := Command{Worker: w.ID, Address: w.Address, Term: d.token(w), claim: d.terms[w.Zone], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
-	if _, until := d.mayCommand(now, w.Zone); !until.IsZero() && until.Before(command.SendBefore) {
+	command := Command{Worker: w.ID, Address: w.Address, Term: d.token(w), claim: d.terms[w.shard], IssuedAt: now, SendBefore: now.Add(maxCommandAge)}
+	if _, until := d.mayCommand(now, w.shard); !until.IsZero() && until.Before(command.SendBefore) {
 		command.SendBefore = until
 	}
 	if !lease || !w.polled || w.clockAt.IsZero() {
@@ -80,11 +80,11 @@
 	r.stopSent = now
 	r.stopClock = 0
 	r.stopTries++
-	if _, led := d.terms[w.Zone]; !led {
+	if _, led := d.terms[w.shard]; !led {
 		// The run ends when its lease expires.
 		return
 	}
-	if from, _ := d.mayCommand(now, w.Zone); now.Before(from) {
+	if from, _ := d.mayCommand(now, w.shard); now.Before(from) {
 		// The stop is issued again later.
 		return
 	}
@@ -209,7 +209,7 @@
 		d.startUnanswered(now, w, r)
 	case Fenced:
 		if d.fencedByLeader(w, s.Command) {
-			d.onFenced(now, w.Zone)
+			d.onFenced(now, w.shard)
 			return
 		}
 		d.startRefused(now, w, r, outcome)
@@ -274,7 +274,7 @@
 		d.pollDue = append(d.pollDue, w)
 	case Fenced:
 		if d.fencedByLeader(w, s.Command) {
-			d.onFenced(now, w.Zone)
+			d.onFenced(now, w.shard)
 		}
 	}
 }
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -41,7 +41,7 @@
 
 // token returns the fencing token of commands to w: the term of its zone, or a higher one
 // that the worker's restart required.
-func (d *dispatcher) token(w *worker) uint64 { return max(d.terms[w.Zone], w.token) }
+func (d *dispatcher) token(w *worker) uint64 { return max(d.terms[w.shard], w.token) }
 
 // lateStartPossible reports whether a start command may still arrive at w.
 func (w *worker) lateStartPossible() bool {
@@ -60,16 +60,16 @@
 // earlier incarnation may still arrive. The present one has no record of the stop of that
 // run, but refuses the command once it has seen a higher token.
 func (d *dispatcher) raiseToken(w *worker) {
-	if _, led := d.terms[w.Zone]; !led || d.unfenced || !w.lateStartPossible() {
+	if _, led := d.terms[w.shard]; !led || d.unfenced || !w.lateStartPossible() {
 		return
 	}
 	w.token = peer.RaiseTerm(d.token(w))
 	w.startsMayArrive = false
-	d.effects.decide("worker-token-raised", w.ID, "zone", w.Zone, "term", d.terms[w.Zone], "token", w.token)
+	d.effects.decide("worker-token-raised", w.ID, "zone", w.Zone, "term", d.terms[w.shard], "token", w.token)
 }
 
 // current reports whether c was issued in the present term of its worker's zone.
-func (d *dispatcher) current(w *worker, c Command) bool { return d.terms[w.Zone] == c.claim }
+func (d *dispatcher) current(w *worker, c Command) bool { return d.terms[w.shard] == c.claim }
 
 // fencedByLeader reports whether c, which was refused because of its token, met another
 // leader, and not a token of this leader that was raised since.
@@ -79,7 +79,7 @@
 // zone any more.
 func freshWorker(w *worker) *worker {
 	fresh := newWorker(w.Worker)
-	fresh.speed, fresh.unproven = w.speed, w.unproven
+	fresh.shard, fresh.speed, fresh.unproven = w.shard, w.speed, w.unproven
 	fresh.token, fresh.startsMayArrive = w.token, w.lateStartPossible()
 	if fresh.startsMayArrive {
 		fresh.incarnation = w.incarnation
--- a/peer/leadership.go
+++ b/peer/leadership.go
@@ -115,8 +115,9 @@
 //
 // A Leadership is not safe for concurrent use: the control goroutine owns it.
 type Leadership struct {
-	cfg     LeadershipConfig
-	start   time.Time
+	cfg   LeadershipConfig
+	start time.Time
+	division
 	claims  map[string]Claim
 	members map[netip.AddrPort]*instanceInfo
 	// fencedTerm is the highest term of this instance that workers have refused
@@ -156,8 +157,13 @@
 
 // instanceInfo is what this process knows about another instance.
 type instanceInfo struct {
-	zone     string
-	lastSeen time.Time
+	// zone is the instance's shard, as it declared it or, until then, as assigned here.
+	zone string
+	// declared is the shard that the instance declared last, or "".
+	declared string
+	// withoutShards is set if the instance's version does not know shards.
+	withoutShards bool
+	lastSeen      time.Time
 	// repliedAt is when the instance's last reply to a heartbeat of this
 	// process arrived.
 	repliedAt time.Time
@@ -200,7 +206,9 @@
 		busyAt:          make(map[string]time.Time),
 		replaced:        make(map[string]netip.AddrPort),
 		leaderlessSince: now,
+		division:        division{sharding: sharding{count: 1}, shard: cfg.Zone, emptySince: make(map[string]time.Time)},
 	}
+	l.nameShards()
 	return l
 }
 
@@ -214,7 +222,7 @@
 		m.listedAt = now
 		return
 	}
-	l.members[addr] = &instanceInfo{zone: zone, listedAt: now}
+	l.members[addr] = &instanceInfo{zone: l.shardOfNew(zone), listedAt: now}
 }
 
 // SetWeight records the weight of the known instance at addr, as another
@@ -266,11 +274,11 @@
 	return time.Time{}
 }
 
-// Zone returns the availability zone of the instance at addr, or "" if the
-// instance is not known.
+// Zone returns the shard of the instance at addr, which is its availability zone
+// if that is not divided, or "" if the instance is not known.
 func (l *Leadership) Zone(addr netip.AddrPort) string {
 	if addr == l.cfg.Self {
-		return l.cfg.Zone
+		return l.shard
 	}
 	if m := l.members[addr]; m != nil {
 		return m.zone
@@ -337,7 +345,9 @@
 
 // SetLeaderPerZone sets whether each zone is to have a leader of its own,
 // because one instance could not lead all zones.
-func (l *Leadership) SetLeaderPerZone(enabled bool) { l.leaderPerZone = enabled }
+func (l *Leadership) SetLeaderPerZone(enabled bool) {
+	l.leaderPerZone = enabled || l.sharding.count > 1
+}
 
 // LeaderPerZone reports whether each zone is to have a leader of its own.
 func (l *Leadership) LeaderPerZone() bool { return l.leaderPerZone }
@@ -365,6 +375,10 @@
 			delete(l.members, addr)
 		}
 	}
+	if len(l.announceTo) > 0 {
+		return l.Heartbeat(now)
+	}
+	l.joinEmptyShard(now)
 	claimed := l.seekLeadership(now)
 	if l.Leading() && !l.leaving {
 		claimed = l.takeOverZones(now) || claimed
