dispatch: jobs wait for the next load of a zone with room; shorter queues are used

planQueue refused a job although another zone had room and only this leader's share of its last load was used up (TestFloodOfOneZoneIsServedByOthers). Such a job is kept until it cannot end in time there. Free capacity is divided among the leaders in need and given back after the expected run time. Jobs also go to a clearly shorter queue, at most until the two waits are even. TestFloodOfOneZoneIsServedByOthers and the tests of redirects pass.

--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -50,6 +50,7 @@
 		}
 		j = d.activate(now, job, submitted)
 		if zone != home {
+			d.loads.accept(now, j.Pool)
 			d.effects.Redirects = append(d.effects.Redirects, Redirect{In: true, Zone: home})
 			d.effects.routine("job-redirect-accepted", job.ID, "from", home, "to", zone, "receiver", from, "round", job.EarlierLeaders)
 		}
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -25,10 +25,13 @@
 
 // poolRoom is the load of one pool as the leader of another zone has sent it.
 type poolRoom struct {
-	capacity, free int
-	wait           time.Duration
+	capacity, free, waiting int
+	wait                    time.Duration
 }
 
+// inNeed reports whether the zone's leader may use the free capacity of other zones.
+func (r poolRoom) inNeed() bool { return r.free == 0 || r.waiting > 0 }
+
 // receivedLoad is the last load that the leader of a zone has sent.
 type receivedLoad struct {
 	at    time.Time
@@ -40,6 +43,10 @@
 	at         time.Time
 	zone, pool string
 	millicores int
+	// work is its expected processor time in core-seconds, and until the time by which it
+	// is expected to have ended if it started at once.
+	work  float64
+	until time.Time
 }
 
 // receivedLoads are the loads of the other zones, and what this leader has redirected to
@@ -48,6 +55,8 @@
 	zones map[string]receivedLoad
 	// redirected are the latest redirected jobs, in the order of their times.
 	redirected []redirectedWork
+	// accepted is when the last job of each pool was redirected to this leader.
+	accepted map[string]time.Time
 }
 
 // receive records a load of a zone that its leader has sent.
@@ -57,7 +66,7 @@
 	}
 	pools := make(map[string]poolRoom, len(load.Pools))
 	for _, p := range load.Pools {
-		pools[p.Pool] = poolRoom{capacity: int(p.Millicores), free: int(p.FreeMillicores), wait: time.Duration(p.WaitNanos)}
+		pools[p.Pool] = poolRoom{capacity: int(p.Millicores), free: int(p.FreeMillicores), waiting: int(p.WaitingMillicores), wait: time.Duration(p.WaitNanos)}
 	}
 	l.zones[load.Zone] = receivedLoad{at: now, pools: pools}
 }
@@ -74,9 +83,9 @@
 }
 
 // record records that a job was redirected.
-func (l *receivedLoads) record(now time.Time, zone, pool string, millicores int) {
+func (l *receivedLoads) record(now time.Time, work redirectedWork) {
 	l.redirected = slices.DeleteFunc(l.redirected, func(r redirectedWork) bool { return now.Sub(r.at) > proportionTime })
-	l.redirected = append(l.redirected, redirectedWork{at: now, zone: zone, pool: pool, millicores: millicores})
+	l.redirected = append(l.redirected, work)
 }
 
 // redirectedSince returns the capacity that the jobs of a pool need that were redirected
@@ -91,18 +100,55 @@
 	return sum
 }
 
+// unseenBy returns the capacity that the jobs of a pool need that were redirected to a zone
+// after a time and are not expected to have ended, and the work of all jobs since that time.
+func (l *receivedLoads) unseenBy(now, since time.Time, zone, pool string) (millicores int, work float64) {
+	for _, r := range l.redirected {
+		if r.pool != pool || r.zone != zone || !r.at.After(since) {
+			continue
+		}
+		work += r.work
+		if r.until.After(now) {
+			millicores += r.millicores
+		}
+	}
+	return millicores, work
+}
+
+// leadersInNeed returns the number of leaders that share the free capacity of zone: this one,
+// and those of the others that need capacity or have sent no recent load. The argument others
+// is the number of all other leaders.
+func (l *receivedLoads) leadersInNeed(now time.Time, zone, pool string, others int) int {
+	n := max(others, 1)
+	for other := range l.zones {
+		if other == zone || now.Sub(l.zones[other].at) > maxLoadAge {
+			continue
+		}
+		if room, _, _ := l.room(now, other, pool); !room.inNeed() {
+			n--
+		}
+	}
+	return max(n, 1)
+}
+
 // offers returns what the other zones have for the jobs of a pool, by loads that are not too
-// old. The argument others is the number of leaders that share the free capacity of a zone.
-func (l *receivedLoads) offers(now time.Time, pool string, others int) []redirectOffer {
+// old. The argument others is the number of other leaders, and homeWait the expected wait at
+// the end of this leader's queue.
+func (l *receivedLoads) offers(now time.Time, pool string, others int, homeWait time.Duration) []redirectOffer {
 	var offers []redirectOffer
 	for zone := range l.zones {
 		room, age, ok := l.room(now, zone, pool)
 		if !ok || others == 0 {
 			continue
 		}
-		sent := l.redirectedSince(now.Add(-age-unseenTime), zone, pool)
+		sent, work := l.unseenBy(now, now.Add(-age-unseenTime), zone, pool)
+		leaders := l.leadersInNeed(now, zone, pool, others)
+		budget := 0.0
+		if l.mayUseQueues(now, pool) {
+			budget = queueBudget(homeWait, room.wait, room.capacity, leaders, work)
+		}
 		offers = append(offers, redirectOffer{
-			zone: zone, capacity: room.capacity, budget: room.free/others - sent,
+			zone: zone, capacity: room.capacity, budget: room.free/leaders - sent, queueBudget: budget,
 			sent: l.redirectedSince(now.Add(-proportionTime), zone, pool), wait: room.wait, age: age,
 		})
 	}
@@ -121,7 +167,7 @@
 		}
 		load.Pools = append(load.Pools, &peer.PoolRoom{
 			Pool: pool, Millicores: uint32(own.capacity), FreeMillicores: uint32(d.offered(now, pool, own)),
-			WaitingMillicores: uint32(own.waiting), WaitNanos: int64(own.wait(maxUrgency)),
+			WaitingMillicores: uint32(own.waiting), WaitNanos: int64(d.offeredWait(now, pool, own)),
 		})
 	}
 	return load
@@ -140,6 +186,16 @@
 	return max(0, own.free-own.waiting)
 }
 
+// offeredWait returns the expected wait behind all queued jobs, for the leaders of other
+// zones. It is negative, so that none uses the queue, under the conditions under which the
+// zone offers no free capacity.
+func (d *dispatcher) offeredWait(now time.Time, pool string, own poolLoad) time.Duration {
+	if !d.settled(now) || d.loads.redirectedSince(now.Add(-maxLoadAge), "", pool) > 0 {
+		return -1
+	}
+	return own.wait(maxUrgency)
+}
+
 // pools returns the names of the pools of the workers that this instance commands, in order,
 // and at most maxLoadPools of them.
 func (d *dispatcher) pools() []string {
--- a/dispatch/loads_test.go
+++ b/dispatch/loads_test.go
@@ -22,19 +22,19 @@
 	now := time.Unix(1_800_000_000, 0)
 	var l receivedLoads
 	l.receive(now, freeLoad("b"))
-	is.Equal(l.offers(now, "editor", 3)[0].budget, 8000) // a third of the free capacity
+	is.Equal(l.offers(now, "editor", 3, 0)[0].budget, 8000) // a third of the free capacity
 
 	now = now.Add(50 * ms)
-	l.record(now, "b", "editor", 6000)
-	is.Equal(l.offers(now, "editor", 3)[0].budget, 2000)
+	l.record(now, redirectedWork{at: now, zone: "b", pool: "editor", millicores: 6000, until: now.Add(time.Second)})
+	is.Equal(l.offers(now, "editor", 3, 0)[0].budget, 2000)
 	l.receive(now.Add(10*ms), freeLoad("b")) // the jobs may not have arrived there
-	is.Equal(l.offers(now.Add(10*ms), "editor", 3)[0].budget, 2000)
+	is.Equal(l.offers(now.Add(10*ms), "editor", 3, 0)[0].budget, 2000)
 	l.receive(now.Add(100*ms), freeLoad("b")) // the jobs have arrived
-	is.Equal(l.offers(now.Add(100*ms), "editor", 3)[0].budget, 8000)
+	is.Equal(l.offers(now.Add(100*ms), "editor", 3, 0)[0].budget, 8000)
 
-	is.Equal(len(l.offers(now.Add(100*ms+maxLoadAge), "editor", 3)), 1)
-	is.Equal(len(l.offers(now.Add(101*ms+maxLoadAge), "editor", 3)), 0)
-	is.Equal(len(l.offers(now, "other", 3)), 0) // the zone has no workers of that pool
+	is.Equal(len(l.offers(now.Add(100*ms+maxLoadAge), "editor", 3, 0)), 1)
+	is.Equal(len(l.offers(now.Add(101*ms+maxLoadAge), "editor", 3, 0)), 0)
+	is.Equal(len(l.offers(now, "other", 3, 0)), 0) // the zone has no workers of that pool
 }
 
 // TestZoneThatRedirectsOffersNothing guards against two zones that redirect jobs to each
@@ -45,7 +45,7 @@
 	var d dispatcher
 	own := poolLoad{capacity: 90_000, free: 24_000, waiting: 4000}
 	is.Equal(d.offered(now, "editor", own), 20_000)
-	d.loads.record(now, "b", "editor", 2000)
+	d.loads.record(now, redirectedWork{at: now, zone: "b", pool: "editor", millicores: 2000})
 	is.Equal(d.offered(now.Add(200*ms), "editor", own), 0)
 	is.Equal(d.offered(now.Add(301*ms), "editor", own), 20_000)
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -112,9 +112,9 @@
 }
 
 // giveUp redirects a job that this leader does not serve to another zone that can, or ends
-// it.
+// it. It keeps a job that may be redirected with the next load.
 func (d *dispatcher) giveUp(now time.Time, j *activeJob, reason string) {
-	if d.redirectRefused(now, j) {
+	if d.redirectRefused(now, j) || d.awaitsRoom(now, j) {
 		return
 	}
 	end := j.notServed(reason)
--- a/dispatch/redirect.go
+++ b/dispatch/redirect.go
@@ -34,6 +34,8 @@
 	id string
 	// millicores is the processor capacity that its waiting tasks need.
 	millicores int
+	// work is the expected processor time of its waiting tasks in core-seconds.
+	work float64
 	// wait is the expected time until its last waiting task starts in its own zone. It is
 	// negative if no start there can be expected.
 	wait time.Duration
@@ -61,6 +63,9 @@
 	// capacity is the capacity of the zone's usable workers, and budget the part of it that
 	// this leader may still use, in thousandths of a core.
 	capacity, budget int
+	// queueBudget is the work, in core-seconds, that this leader may add to the queue of the
+	// zone.
+	queueBudget float64
 	// sent is the capacity that the jobs need that this leader has redirected to the zone
 	// lately. Without workers of its own, it divides its jobs in proportion to capacity.
 	sent int
@@ -72,6 +77,8 @@
 type redirectChoice struct {
 	id, zone, reason string
 	millicores       int
+	work             float64
+	run              time.Duration
 	// homeWait and otherWait are the expected waits in the two zones, and loadAge the age
 	// of the other zone's load.
 	homeWait, otherWait, loadAge time.Duration
@@ -82,6 +89,8 @@
 	// home is the zone of this leader, and homeless is set if it has no usable worker.
 	home     string
 	homeless bool
+	// homeWait is the expected wait at the end of this leader's queue.
+	homeWait time.Duration
 	// offers are those of the other zones, in the order of their names. The decision
 	// reduces their budgets.
 	offers []redirectOffer
@@ -107,13 +116,17 @@
 		pick = r.leastUsed
 	}
 	offer, reason := pick(job)
+	if offer == nil && !r.homeless {
+		offer, reason = r.shortestQueue(job), shorterQueue
+	}
 	if offer == nil {
 		return redirectChoice{}, false
 	}
 	offer.budget -= job.millicores
+	offer.queueBudget -= job.work
 	offer.sent += job.millicores
 	return redirectChoice{
-		id: job.id, zone: offer.zone, reason: reason, millicores: job.millicores,
+		id: job.id, zone: offer.zone, reason: reason, millicores: job.millicores, work: job.work, run: job.runIn(offer.zone),
 		homeWait: job.wait, otherWait: offer.wait, loadAge: offer.age,
 	}, true
 }
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -51,7 +51,7 @@
 		}
 	}
 	for _, pool := range pools {
-		if len(d.loads.offers(now, pool, 1)) == 0 {
+		if len(d.loads.offers(now, pool, 1, 0)) == 0 {
 			continue
 		}
 		load := d.poolLoad(now, pool)
@@ -79,11 +79,13 @@
 // redirectDecision returns the decision on the jobs of a pool, with what the other zones
 // have for them.
 func (d *dispatcher) redirectDecision(now time.Time, pool string, load poolLoad) redirectDecision {
-	offers := slices.DeleteFunc(d.loads.offers(now, pool, d.otherLeaders(now)), func(o redirectOffer) bool {
+	offers := slices.DeleteFunc(d.loads.offers(now, pool, d.otherLeaders(now), load.wait(maxUrgency)), func(o redirectOffer) bool {
 		_, led := d.terms[o.zone]
 		return led
 	})
-	return redirectDecision{home: d.ledZones()[0], homeless: load.capacity == 0 && d.settled(now), offers: offers}
+	return redirectDecision{
+		home: d.ledZones()[0], homeless: load.capacity == 0 && d.settled(now), homeWait: load.wait(maxUrgency), offers: offers,
+	}
 }
 
 // redirectCandidates returns the jobs of a pool that may be redirected, in the order of the
@@ -132,11 +134,12 @@
 
 func (d *dispatcher) redirectCandidate(now time.Time, j *activeJob, millicores int, wait time.Duration) redirectCandidate {
 	data := d.dataZone(j)
+	work, _ := d.waitingWork(j)
 	if _, led := d.terms[data]; led {
 		data = d.ledZones()[0] // this leader's zones are one to redirectDecision
 	}
 	return redirectCandidate{
-		id: j.ID, millicores: millicores, wait: wait, run: j.chainTime, left: j.objective.Sub(now),
+		id: j.ID, millicores: millicores, work: work, wait: wait, run: j.chainTime, left: j.objective.Sub(now),
 		dataZone: data, remoteFactor: d.remoteRackFactor,
 	}
 }
@@ -202,7 +205,10 @@
 	if j == nil {
 		return
 	}
-	d.loads.record(now, c.zone, j.Pool, c.millicores)
+	d.loads.record(now, redirectedWork{
+		at: now, zone: c.zone, pool: j.Pool, millicores: c.millicores, work: c.work,
+		until: now.Add(redirectTime + max(c.otherWait, 0) + c.run),
+	})
 	d.effects.Redirects = append(d.effects.Redirects, Redirect{Zone: c.zone, Reason: c.reason})
 	d.effects.decide("job-redirected", j.ID, "from", d.ledZones()[0], "to", c.zone, "reason", c.reason, "route", j.Route,
 		"age", now.Sub(j.Arrived), "wait", c.homeWait, "wait-there", c.otherWait, "load-age", c.loadAge,
