dispatch: workers of the load model answer each poll by itself

No bound changes. TestFloodsOfEachKind/proofs then fails: 3 of the 14 largest jobs of the least urgent kind are served, 4 are asked.

--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -247,7 +247,9 @@
 
 func (m *loadModel) answerPoll(p dispatch.Poll) {
 	w := m.workers[p.Worker]
-	w.poll = nil
+	if w.poll != nil && w.poll.Number == p.Number {
+		w.poll = nil // other polls beside it are answered by themselves
+	}
 	for i := range w.running {
 		r := w.runs[w.running[i].Task]
 		w.running[i].Percent = int(100 * m.now.Sub(r.start) / max(r.takes, 1))
