--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -166,7 +166,9 @@
 		return
 	}
 	d.dropJob(now, j)
-	d.sizes.record(j, end.State == Completed)
+	if end.State != Redirected {
+		d.sizes.record(j, end.State == Completed)
+	}
 	kept := &keptEnd{end: end, at: now, arrived: j.Arrived}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -52,6 +52,8 @@
 	ended          time.Duration
 	firstRefusedAt time.Duration
 	retryAfter     []time.Duration
+	// busy is the time that its runs have taken.
+	busy time.Duration
 }
 
 // modelWorker is a worker of the load model.
@@ -239,6 +241,7 @@
 	w.next++
 	w.finished = append(w.finished, dispatch.FinishedTask{Sequence: w.next, Task: task, Number: w.running[i].Number, Result: result})
 	w.running = slices.Delete(w.running, i, i+1)
+	m.byID[task.Job].busy += m.now.Sub(w.runs[task].start)
 	delete(w.runs, task)
 	if w.poll != nil {
 		m.answerPoll(*w.poll)
@@ -319,6 +322,7 @@
 				after[kind] = append(after[kind], m.arrived(kind, end, end.Add(3*time.Second))...)
 			}
 		}
+		t.Logf("%-6s | slots used by jobs that ended in time, late, not at all: %v", f.name, slotsUsed(during))
 		for kind, k := range modelKinds {
 			t.Logf("%-6s | %s | %v | after: %v | busy %.2f", f.name, k.route, resultsOf(during[kind]), resultsOf(after[kind]), busy)
 		}
--- a/dispatch/load_results_test.go
+++ b/dispatch/load_results_test.go
@@ -98,3 +98,25 @@
 	return fmt.Sprintf("%5d | %.3f | %.3f | %.3f | %.3f | %.3f | %4d | %5.1f | %.2f", r.jobs, r.inTime, r.worth, r.served, r.large, r.largest,
 		r.refused, float64(r.median)/float64(time.Millisecond), r.latestShare)
 }
+
+// slotsUsed returns, for each kind, the shares of the capacity of four floods that went to the
+// jobs that ended in time, late, and not at all.
+func slotsUsed(jobs [3][]*modelJob) (shares [3][3]string) {
+	for kind := range jobs {
+		var used [3]time.Duration
+		for _, j := range jobs[kind] {
+			switch j.worth() {
+			case 1:
+				used[0] += j.busy
+			case 0:
+				used[2] += j.busy
+			default:
+				used[1] += j.busy
+			}
+		}
+		for n, u := range used {
+			shares[kind][n] = fmt.Sprintf("%.3f", u.Seconds()/(4*modelFlood.Seconds()*2*modelWorkers))
+		}
+	}
+	return shares
+}
