dispatch: crowded out and late jobs leave a reserve of free capacity

They and late jobs now start only beside a free tenth of the pool, and the minimum share goes to jobs that are likely to end in time.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -81,7 +81,7 @@
 	d.plannedAt = now
 	pools := d.planPools(now)
 	d.findOverload(now, pools)
-	d.favorRoutes(pools)
+	d.favorRoutes(now, pools)
 	d.queue.sort()
 	for _, j := range append([]*activeJob(nil), d.queue.jobs...) {
 		pool := pools[j.Pool]
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 const (
 	// minRouteShare is the share of a pool's capacity that each route may use under
 	// overload before more urgent routes, so that none is starved.
@@ -7,12 +9,15 @@
 	// crowdedOutDemand is the share of the capacity from which on more urgent jobs leave
 	// only a minimum share to a route.
 	crowdedOutDemand = 0.9
+	// overloadReserve is the share of the capacity of an overloaded pool that stays free
+	// for jobs that can end in time: other jobs use only what is free beyond it.
+	overloadReserve = 0.1
 )
 
 // favorRoutes marks, in each pool, the first queued jobs of those routes that use less than
 // their minimum share. The most urgent jobs need no share. A route's next jobs, for another
 // such share, are reserved: they are not refused because of more urgent ones.
-func (d *dispatcher) favorRoutes(pools map[string]*poolPlan) {
+func (d *dispatcher) favorRoutes(now time.Time, pools map[string]*poolPlan) {
 	for _, j := range d.queue.jobs {
 		if p := pools[j.Pool]; p != nil && (!p.queued || j.Urgency < p.mostUrgent) {
 			p.mostUrgent, p.queued = j.Urgency, true
@@ -26,9 +31,9 @@
 		share := minRouteShare * float64(p.capacity)
 		used := float64(p.inUse[j.Route])
 		lessUrgent := j.Urgency > p.mostUrgent && !j.late
-		favored := lessUrgent && ((j.favored && j.started) || used < j.shareLimit(share))
+		favored := lessUrgent && ((j.favored && j.started) || (used < j.shareLimit(share) && j.likelyInTime(now)))
 		j.crowdedOut = d.crowdsOut(j, p.capacity)
-		j.reserved = lessUrgent && used < 2*share
+		j.reserved = lessUrgent && used < 2*share && j.likelyInTime(now)
 		first, scarce := d.sizes.behind(j), d.scarceFor(j, p.capacity)
 		if favored != j.favored || first != j.first || scarce != j.scarce {
 			j.favored, j.first, j.scarce = favored, first, scarce
@@ -42,6 +47,12 @@
 	}
 }
 
+// likelyInTime reports whether j ends in time on workers of speed 1 if it starts at now. The
+// minimum share of a route is not spent on jobs that only fast workers end in time.
+func (j *activeJob) likelyInTime(now time.Time) bool {
+	return !now.Add(j.chainTime).After(j.objective)
+}
+
 // scarceFor reports whether the jobs that are as urgent as j or more need almost all of a
 // pool's capacity, in thousandths of a core.
 func (d *dispatcher) scarceFor(j *activeJob, capacity int) bool {
@@ -69,27 +80,27 @@
 }
 
 // blockedByOverload reports whether j must not be started now although resources are free,
-// because its pool is overloaded: a job that is late, or a job of which only a part could be
-// started, and whose other tasks would then wait behind ever more urgent jobs until it is
-// late.
+// because its pool is overloaded: a job that is late, or one that more urgent jobs crowd out,
+// unless its tasks leave free capacity beside them. Otherwise it would take what the next jobs
+// that can end in time need, or would be started in part and end late.
 func (d *dispatcher) blockedByOverload(j *activeJob) bool {
 	if j.started || j.favored {
 		return false
 	}
-	return j.late || (j.crowdedOut && !d.fitsWhole(j))
+	return (j.late || j.crowdedOut) && !d.leavesReserve(j)
 }
 
-// fitsWhole reports whether the open workers have free processors for all waiting tasks of j.
-func (d *dispatcher) fitsWhole(j *activeJob) bool {
-	if len(j.waiting) < 2 {
-		return true
-	}
-	needs := max(j.Steps[j.waiting[0].id.Step].Needs.Millicores, 1)
-	fitting := 0
+// leavesReserve reports whether the open workers have free processors for all waiting tasks of
+// j and the reserve for jobs that can end in time.
+func (d *dispatcher) leavesReserve(j *activeJob) bool {
+	free := 0
 	for _, w := range d.open {
 		if w.Pool == j.Pool {
-			fitting += w.free().Millicores / needs
+			free += w.free().Millicores
 		}
 	}
-	return fitting >= len(j.waiting)
+	for _, t := range j.waiting {
+		free -= j.Steps[t.id.Step].Needs.Millicores
+	}
+	return float64(free) >= overloadReserve*float64(d.overloaded[j.Pool])
 }
