dispatch: a fifth of an overloaded pool stays free of late and crowded out jobs

A test of its own for the wait for the next load: TestFloodOfOneZoneIsServedByOthers passes without it since the shares of free capacity are larger.

--- a/dispatch/even_waits_test.go
+++ b/dispatch/even_waits_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -100,3 +101,34 @@
 	is.Equal(l.offers(now.Add(59*ms), "editor", 3, 0)[0].budget, 0)
 	is.Equal(l.offers(now.Add(60*ms), "editor", 3, 0)[0].budget, 12_000)
 }
+
+// TestJobWaitsForTheNextLoadOfAZoneWithRoom guards against a refusal while another zone has
+// free capacity and only this leader's share of it is used up. The job is refused once it
+// cannot end in time there, or if there is no other leader or no recent load.
+func TestJobWaitsForTheNextLoadOfAZoneWithRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	for _, test := range []struct {
+		leaders   int
+		later     time.Duration
+		left      time.Duration
+		keepsWait bool
+	}{
+		{1, 0, time.Second, true},
+		{1, 0, 5 * ms, false},
+		{0, 0, time.Second, false},
+		{1, 301 * ms, time.Second, false},
+	} {
+		d := newZone(now)
+		d.otherLeaders = func(time.Time) int { return test.leaders }
+		d.effects, d.ends, d.reportEnd = &Effects{}, make(map[string]*keptEnd), func(time.Time, netip.AddrPort, End) {}
+		j := d.zoneTask(now, "1", "").job
+		j.objective = now.Add(test.later + j.chainTime + test.left)
+		load := freeLoad("other")
+		load.Pools[0].Pool = j.Pool
+		d.loads.receive(now, load)
+		d.loads.record(now, redirectedWork{at: now, zone: "other", pool: j.Pool, millicores: 24_000, until: now.Add(time.Second)})
+		d.giveUp(now.Add(test.later), j, "no-capacity")
+		is.Equal(d.jobs[j.ID] == j, test.keepsWait)
+	}
+}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -11,7 +11,7 @@
 	crowdedOutDemand = 0.9
 	// overloadReserve is the share of the capacity of an overloaded pool that stays free
 	// for jobs that can end in time: other jobs use only what is free beyond it.
-	overloadReserve = 0.1
+	overloadReserve = 0.2
 )
 
 // favorRoutes marks, in each pool, the first queued jobs of those routes that use less than
