--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -50,6 +50,7 @@
 		}
 		j = d.activate(now, job, submitted)
 		if zone != home {
+			d.loads.accept(now, j.Pool)
 			d.effects.Redirects = append(d.effects.Redirects, Redirect{In: true, Zone: home})
 			d.effects.routine("job-redirect-accepted", job.ID, "from", home, "to", zone, "receiver", from, "round", job.EarlierLeaders)
 		}
@@ -165,7 +166,9 @@
 		return
 	}
 	d.dropJob(now, j)
-	d.sizes.record(j, end.State == Completed)
+	if end.State != Redirected {
+		d.sizes.record(j, end.State == Completed)
+	}
 	kept := &keptEnd{end: end, at: now, arrived: j.Arrived}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -52,6 +52,8 @@
 	ended          time.Duration
 	firstRefusedAt time.Duration
 	retryAfter     []time.Duration
+	// busy is the time that its runs have taken.
+	busy time.Duration
 }
 
 // modelWorker is a worker of the load model.
@@ -239,6 +241,7 @@
 	w.next++
 	w.finished = append(w.finished, dispatch.FinishedTask{Sequence: w.next, Task: task, Number: w.running[i].Number, Result: result})
 	w.running = slices.Delete(w.running, i, i+1)
+	m.byID[task.Job].busy += m.now.Sub(w.runs[task].start)
 	delete(w.runs, task)
 	if w.poll != nil {
 		m.answerPoll(*w.poll)
@@ -247,7 +250,9 @@
 
 func (m *loadModel) answerPoll(p dispatch.Poll) {
 	w := m.workers[p.Worker]
-	w.poll = nil
+	if w.poll != nil && w.poll.Number == p.Number {
+		w.poll = nil // other polls beside it are answered by themselves
+	}
 	for i := range w.running {
 		r := w.runs[w.running[i].Task]
 		w.running[i].Percent = int(100 * m.now.Sub(r.start) / max(r.takes, 1))
@@ -317,6 +322,7 @@
 				after[kind] = append(after[kind], m.arrived(kind, end, end.Add(3*time.Second))...)
 			}
 		}
+		t.Logf("%-6s | slots used by jobs that ended in time, late, not at all: %v", f.name, slotsUsed(during))
 		for kind, k := range modelKinds {
 			t.Logf("%-6s | %s | %v | after: %v | busy %.2f", f.name, k.route, resultsOf(during[kind]), resultsOf(after[kind]), busy)
 		}
