dispatch: run times are measured by the worker's clock

Cause: a run time lasted until its end was handled. A leader that was late learned its own delays as run times, expected that no job could end in time, and refused jobs although its workers were free.

Change: a run time is the difference between the worker's clock at the answer to the start command and in the report that lists the end. It does not count if the end may have been long before the report: the latest time at which the poll reached the worker follows from the times at which commands were issued, not from when their answers were handled. The progress of a slow run is judged by the worker's clock, too.

--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -9,3 +9,8 @@
 func ShardsFor(workers, instances, heaviest, present int) int {
 	return shardsFor(workers, instances, heaviest, present)
 }
+
+// ExpectedRunTime returns the run time at speed 1 that the leader expects of a task.
+func (i *Instance) ExpectedRunTime(route string, estimate time.Duration) time.Duration {
+	return i.dispatcher.estimates.expectedRunTime(route, estimate)
+}
--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -85,6 +85,8 @@
 	byID      map[string]*modelJob
 	rates     [3]float64
 	decisions []dispatch.Decision
+	// late is the time after which the leader handles the answers of workers.
+	late time.Duration
 	// busy is the time that runs have taken on all workers.
 	busy time.Duration
 	// starts are the times of the starts, by job.
@@ -123,6 +125,15 @@
 	heap.Push(&m.events, scheduledEvent{at: m.now.Add(d), sequence: m.count, do: do})
 }
 
+// handle lets the leader handle an answer.
+func (m *loadModel) handle(answer func()) {
+	if m.late == 0 {
+		answer()
+		return
+	}
+	m.after(m.late, answer)
+}
+
 func (m *loadModel) tick() {
 	m.RecordWorkersRead(m.now)
 	m.Tick(m.now)
@@ -216,7 +227,8 @@
 		panic("a worker got more runs than it has room for")
 	}
 	w.running = append(w.running, dispatch.RunningTask{Task: s.Task, Number: s.Number})
-	m.StartDone(m.now, s, dispatch.Accepted, m.now.Sub(simulationStart))
+	clock := m.now.Sub(simulationStart)
+	m.handle(func() { m.StartDone(m.now, s, dispatch.Accepted, clock) })
 	nominal := m.byID[s.Task.Job].nominal
 	run := time.Duration(float64(nominal) * math.Exp(0.1*m.random.NormFloat64()) / w.speed)
 	m.busy += run
@@ -252,9 +264,10 @@
 		r := w.runs[w.running[i].Task]
 		w.running[i].Percent = int(100 * m.now.Sub(r.start) / max(r.takes, 1))
 	}
-	m.PollDone(m.now, p, dispatch.Report{
+	report := dispatch.Report{
 		Incarnation: 1, Clock: m.now.Sub(simulationStart), Running: slices.Clone(w.running), Finished: slices.Clone(w.finished),
-	}, dispatch.Accepted)
+	}
+	m.handle(func() { m.PollDone(m.now, p, report, dispatch.Accepted) })
 }
 
 // answer records the end of a job. A caller whose job was not run submits it again.
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -146,6 +146,7 @@
 	if w.incarnation != 0 && report.Incarnation != w.incarnation {
 		d.workerRestarted(now, w)
 		w.lastProcessed, w.unclaimedEnds, w.clockAt, w.leaseEnd, w.renewedUntil = 0, nil, time.Time{}, 0, 0
+		w.clockBound = clockBound{}
 	}
 	w.incarnation = report.Incarnation
 	if !w.clockAt.IsZero() && (report.Clock < w.clock || (report.Clock == w.clock && poll.Number < w.latestReport)) {
@@ -158,8 +159,8 @@
 		d.effects.decide("worker-back", w.ID, "misses", w.missedPolls)
 	}
 	w.missedPolls = 0
-	// An answer that was not delayed may report ends of any time since the last report.
-	w.endsLate = now.Sub(poll.IssuedAt) < d.overdueAfter(w) && poll.IssuedAt.Sub(w.clockAt) >= d.overdueAfter(w)
+	w.clockBound.note(poll.IssuedAt, report.Clock)
+	w.endsWithin = d.endsReportedWithin(w, poll, report)
 	w.clock, w.clockAt = report.Clock, now
 	fresh := !w.polled
 	if fresh {
@@ -285,7 +286,7 @@
 	}
 	j := r.task.job
 	expected := d.estimates.expectedRunTime(j.Route, j.Steps[r.id.Step].Estimate)
-	elapsed := now.Sub(r.since)
+	elapsed := w.elapsed(r)
 	if percent > 0 && elapsed > slowFactor*w.runTime(expected) {
 		w.updateSpeed(time.Duration(float64(expected)*float64(percent)/100), elapsed, slowRunWeight)
 	}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -94,6 +94,7 @@
 // runEnded handles the end of a run.
 func (d *dispatcher) runEnded(now time.Time, w *worker, r *run, result RunResult) {
 	d.removeRun(w, r)
+	runTime, measured := w.measuredRunTime(r)
 	if result != RunAborted {
 		d.startConfirmed(now, w, r)
 		d.runSettled(now, w, r, "ended")
@@ -105,7 +106,9 @@
 	j := t.job
 	switch result {
 	case RunSucceeded:
-		d.recordRunTime(now, w, r)
+		if measured {
+			d.recordRunTime(w, r, runTime)
+		}
 		w.failuresInRow = 0
 		d.taskSucceeded(now, j, t.id)
 	case RunFailed:
@@ -165,14 +168,9 @@
 }
 
 // recordRunTime updates the estimates with the run time of a run that has succeeded.
-// The run time of an adopted run is unknown.
-func (d *dispatcher) recordRunTime(now time.Time, w *worker, r *run) {
-	if r.adopted || w.endsLate {
-		return
-	}
+func (d *dispatcher) recordRunTime(w *worker, r *run, runTime time.Duration) {
 	j := r.task.job
 	step := j.Steps[r.id.Step]
-	runTime := now.Sub(r.since)
 	atSpeedOne := time.Duration(float64(runTime) * w.speed)
 	expected, weight := d.estimates.expectedRunTime(j.Route, step.Estimate), firstSpeedWeight
 	if j.succeeded > 0 {
@@ -194,6 +192,7 @@
 	if outcome.isAnswer() {
 		d.answered(now, w, s.IssuedAt, true)
 	}
+	w.clockBound.note(s.IssuedAt, clock)
 	r := w.runs[s.Task]
 	if r == nil || r.number != s.Number {
 		return
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -143,6 +143,8 @@
 	// clock is the worker's clock. It was read no later than clockAt.
 	clock   time.Duration
 	clockAt time.Time
+	// clockBound bounds the clock at the time at which a command was issued.
+	clockBound clockBound
 	// leaseEnd is the time on the worker's clock by which all its runs end if no
 	// lease is renewed, and renewedUntil the end of the lease that this leader last
 	// requested, or 0.
@@ -180,9 +182,9 @@
 	// still arrive. token is the fencing token to use unless the term of the zone is higher.
 	startsMayArrive bool
 	token           uint64
-	// endsLate is set while a report is applied in which a run may have ended long before
-	// the report.
-	endsLate bool
+	// endsWithin is the longest time before the latest report at which a run that it lists
+	// as ended may have ended.
+	endsWithin time.Duration
 	// immediatePoll is set if the worker must answer the next poll at once.
 	// missedPolls counts the polls in a row without an answer.
 	immediatePoll bool
