--- a/peer/standby_test.go
+++ b/peer/standby_test.go
@@ -89,6 +89,7 @@
 	c.leave(4, 200*time.Millisecond)
 	c.run(time.Second)
 	c.leave(3, 400*time.Millisecond)
+	is.Equal(c.leaders(), []int{1, 0, 0, 0, 0, 1}) // b-3 at once
 	c.run(5 * time.Second)
 	is.Equal(c.leaders(), []int{1, 0, 0, 0, 0, 1})
 }
