dispatch: run times contain the shortest answer time of the worker

Cause: since run times lacked the time of the command and of the report, so that jobs were expected to end earlier than the leader learns of it. TestSteadyLoadRefusesNothing and TestFloodsOfEachKind/proofs failed.

Tested: both pass.

--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -107,7 +107,8 @@
 	switch result {
 	case RunSucceeded:
 		if measured {
-			d.recordRunTime(w, r, runTime)
+			// The commands and the report take time, too.
+			d.recordRunTime(w, r, runTime+w.trip)
 		}
 		w.failuresInRow = 0
 		d.taskSucceeded(now, j, t.id)
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -37,6 +37,7 @@
 // prompt is set, the worker did not wait before it answered.
 func (d *dispatcher) answered(now time.Time, w *worker, issuedAt time.Time, prompt bool) {
 	if prompt {
+		w.trip = min(w.trip, max(now.Sub(issuedAt), 0))
 		w.answers.record(now.Sub(issuedAt))
 		d.typicalAnswers.record(now.Sub(issuedAt))
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -168,7 +168,9 @@
 	sidePollDue    bool
 	// answers estimates the worker's answer times, answeredAt is when it last answered a
 	// command, and hedges counts the extra polls since then.
-	answers    answerTimes
+	answers answerTimes
+	// trip is the shortest answer time, at most minHedgeDelay.
+	trip       time.Duration
 	answeredAt time.Time
 	hedges     int
 	// quiet is set while an answer is overdue and no other one has arrived since the
@@ -204,7 +206,7 @@
 }
 
 func newWorker(w Worker) *worker {
-	return &worker{Worker: w, runs: make(map[TaskID]*run), speed: 1}
+	return &worker{Worker: w, runs: make(map[TaskID]*run), speed: 1, trip: minHedgeDelay}
 }
 
 // free returns the resources that no run uses.
