dispatch: late answers of a worker's former incarnation

A report of a former incarnation that arrived after one of the present incarnation was taken for another restart: the runs of the present one were concluded although they went on, and their tasks could start a second time. A stop that the former incarnation had acknowledged left its run unsettled until the present clock reached the former one. A start that was stopped, or concluded, before its answer was due was not counted among the commands that may arrive late.

Reports and acknowledgements of commands that were issued before the present incarnation was known are ignored. One test each, which failed before.

--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -144,10 +144,15 @@
 // applyReport applies a worker's report to its runs.
 func (d *dispatcher) applyReport(now time.Time, w *worker, poll Poll, report Report) {
 	if w.incarnation != 0 && report.Incarnation != w.incarnation {
+		if poll.IssuedAt.Before(w.incarnationSince) {
+			return // a late answer of a former incarnation
+		}
 		d.workerRestarted(now, w)
 		w.lastProcessed, w.unclaimedEnds, w.clockAt, w.leaseEnd, w.renewedUntil = 0, nil, time.Time{}, 0, 0
 	}
-	w.incarnation = report.Incarnation
+	if w.incarnation != report.Incarnation {
+		w.incarnation, w.incarnationSince = report.Incarnation, now
+	}
 	if !w.clockAt.IsZero() && (report.Clock < w.clock || (report.Clock == w.clock && poll.Number < w.latestReport)) {
 		return
 	}
@@ -316,6 +321,9 @@
 
 // concludeRun concludes that a run is not running any more.
 func (d *dispatcher) concludeRun(now time.Time, w *worker, r *run, why string) {
+	if r.state == runSent {
+		r.mayStartLate = true
+	}
 	d.effects.decide("run-not-running", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", why)
 	d.runSettled(now, w, r, why)
 	d.runEnded(now, w, r, RunAborted)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -76,6 +76,7 @@
 // reported its end.
 func (d *dispatcher) stop(now time.Time, w *worker, r *run) {
 	r.confirmedAt = d.runConfirmedAt(now, r)
+	r.mayStartLate = r.mayStartLate || r.state == runSent
 	r.state = runStopping
 	r.stopSent = now
 	r.stopClock = 0
@@ -234,6 +235,7 @@
 // startRefused handles the outcome of a Start that the worker has not carried out and
 // never will.
 func (d *dispatcher) startRefused(now time.Time, w *worker, r *run, outcome Outcome) {
+	r.mayStartLate = false
 	d.effects.decide("start-refused", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", outcome)
 	switch outcome {
 	case Refused:
@@ -265,6 +267,9 @@
 	}
 	switch outcome {
 	case Accepted:
+		if s.IssuedAt.Before(w.incarnationSince) {
+			return // perhaps the answer of a former incarnation, with another clock
+		}
 		r.stopClock = clock
 		r.endDue = now
 		if !r.mayStartLate {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -136,7 +136,9 @@
 	// polled is set once the worker has answered a poll of this leader.
 	polled      bool
 	incarnation int64
-	runs        map[TaskID]*run
+	// incarnationSince is when the first report of that incarnation arrived, or zero.
+	incarnationSince time.Time
+	runs             map[TaskID]*run
 	used        Resources
 	// orphans is the number of orphaned runs.
 	orphans int
