dispatch: the token is raised while a worker is silent

A start command that is carried out late by the next incarnation of a worker was refused only after the restart was known and another command had followed. The token is now raised once two polls in a row have no answer, or the runs of the worker have lapsed, if a start with the present token may still arrive: the first poll that a new incarnation answers carries the higher token. For 12 s after such a start a silent worker is polled every 100 ms, and it is kept although it is missing from the table. A leader sends at most two such polls a tick, to the workers in turns.

The token of each start command is kept with its run, so that a token is raised once, not for each missed poll.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -106,6 +106,8 @@
 	// lastTick is when tick was last called, and doubtsFrom the time from which answers
 	// may be taken for overdue.
 	lastTick, doubtsFrom time.Time
+	// restartPollNext is the index in led from which on pollForRestarts looks for workers.
+	restartPollNext int
 	// unfenced is set if workers accept commands of any term.
 	unfenced bool
 	// former are removed workers, by their IDs, at which a start command may still arrive.
@@ -269,12 +271,13 @@
 }
 
 // forgetWorker removes a worker, of a zone that this instance leads, that was missing for
-// missingWorkerTimeout while it could be polled, once nothing can run on it.
+// missingWorkerTimeout while it could be polled, once nothing can run on it and no start command
+// of before is expected to arrive there.
 func (d *dispatcher) forgetWorker(now time.Time, w *worker) {
 	if _, led := d.terms[w.shard]; !led || w.missingSince.IsZero() {
 		return
 	}
-	if now.Sub(later(w.missingSince, d.takenOver[w.shard])) < missingWorkerTimeout || len(w.runs) > 0 {
+	if now.Sub(later(w.missingSince, d.takenOver[w.shard])) < missingWorkerTimeout || len(w.runs) > 0 || w.mayRestart(now) {
 		return
 	}
 	d.remember(now, w)
--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -92,3 +92,35 @@
 	}
 	is.Equal(probed, map[string]bool{"w-2": true})
 }
+
+// TestTokenOfASilentWorker guards against a start command that is carried out by the next
+// incarnation of its worker before the restart is known: the polls of a silent worker have a
+// higher token already, which is raised only once, and are frequent while the command may
+// arrive.
+func TestTokenOfASilentWorker(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.lead()
+	start := s.loseStart(is, abandonedID)
+	s.holdPolls = true
+	poll := func(d time.Duration) []dispatch.Poll {
+		s.effects.Polls = nil
+		for end := s.now.Add(d); s.now.Before(end); {
+			s.advance(50 * time.Millisecond)
+			for _, p := range s.heldPolls {
+				s.PollDone(s.now, p, dispatch.Report{}, dispatch.OutcomeUnknown)
+			}
+			s.heldPolls = nil
+		}
+		return s.effects.Polls
+	}
+	poll(2 * time.Second)
+	polls := poll(time.Second)
+	is.True(len(polls) >= 8)
+	is.True(len(polls) <= 14)
+	raised := polls[0].Term
+	is.True(raised > start.Term)
+	polls = poll(10 * time.Second)
+	is.Equal(polls[len(polls)-1].Term, raised)
+	is.True(len(poll(2*time.Second)) <= 4)
+}
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -137,6 +137,7 @@
 	}
 	w.missedPolls++
 	if w.missedPolls > 1 {
+		d.raiseToken(w)
 		w.nextPoll = now.Add(min(pollRetryDelay<<min(w.missedPolls-2, 8), maxPollRetryDelay))
 	}
 }
@@ -161,6 +162,8 @@
 	w.latestReport = poll.Number
 	if w.missedPolls > 0 {
 		d.effects.decide("worker-back", w.ID, "misses", w.missedPolls)
+		w.nextPoll = now
+		d.pollDue = append(d.pollDue, w)
 	}
 	w.missedPolls = 0
 	// An answer that was not delayed may report ends of any time since the last report.
@@ -365,6 +368,7 @@
 	_, led := d.terms[w.shard]
 	if (w.missedPolls > 0 || !led || !w.polled) && w.allRunsExpired(now) {
 		d.concludeAllRuns(now, w, "lapsed")
+		d.raiseToken(w)
 		return
 	}
 	if !led {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -36,7 +36,9 @@
 // removeRun removes a run from w.
 func (d *dispatcher) removeRun(w *worker, r *run) {
 	w.remove(r)
-	w.startsMayArrive = w.startsMayArrive || r.mayStartLate
+	if r.mayStartLate {
+		w.lateStart.add(r)
+	}
 	duplicates := slices.DeleteFunc(d.duplicates[r.id], func(other *worker) bool { return other == w })
 	if d.running[r.id] == w {
 		delete(d.running, r.id)
@@ -57,6 +59,7 @@
 	t.number++
 	d.addRun(w, &run{
 		id:         t.id,
+		token:      d.token(w),
 		number:     t.number,
 		task:       t,
 		needs:      t.job.Steps[t.id.Step].Needs,
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -16,6 +16,7 @@
 	}
 	d.noteTick(now)
 	d.checkWorkers(now)
+	d.pollForRestarts(now)
 	d.checkJobs(now, leadership)
 	d.redirectWaiting(now)
 	d.foreign.update(now, d.jobs)
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -15,17 +15,43 @@
 	removedAt   time.Time
 	incarnation int64
 	token       uint64
+	lateStart   lateStart
 }
 
-// remember records w, which is removed, if a start command may still arrive there.
+// lateStart describes start commands to a worker that may still arrive.
+type lateStart struct {
+	// token is the highest of their fencing tokens, and sentAt when the latest was issued.
+	token  uint64
+	sentAt time.Time
+}
+
+// add adds the start command of r.
+func (l *lateStart) add(r *run) {
+	l.token = max(l.token, r.token)
+	l.sentAt = later(l.sentAt, r.since)
+}
+
+// latestStart describes the start commands to w that may still arrive.
+func (w *worker) latestStart() lateStart {
+	l := w.lateStart
+	for _, r := range w.runs {
+		if r.mayStartLate || r.state == runSent {
+			l.add(r)
+		}
+	}
+	return l
+}
+
+// remember records w, which is removed, if the token of commands to it is raised.
 func (d *dispatcher) remember(now time.Time, w *worker) {
 	for id, f := range d.former {
 		if now.Sub(f.removedAt) > lateStartRetention {
 			delete(d.former, id)
 		}
 	}
-	if w.lateStartPossible() {
-		d.former[w.ID] = formerWorker{removedAt: now, incarnation: w.incarnation, token: w.token}
+	d.raiseToken(w)
+	if w.token > 0 {
+		d.former[w.ID] = formerWorker{removedAt: now, incarnation: w.incarnation, token: w.token, lateStart: w.lateStart}
 	}
 }
 
@@ -36,35 +62,24 @@
 		return
 	}
 	delete(d.former, w.ID)
-	w.incarnation, w.token, w.startsMayArrive = f.incarnation, f.token, true
+	w.incarnation, w.token, w.lateStart = f.incarnation, f.token, f.lateStart
 }
 
 // token returns the fencing token of commands to w: the term of its zone, or a higher one
-// that the worker's restart required.
+// that was raised because a start command may arrive late.
 func (d *dispatcher) token(w *worker) uint64 { return max(d.terms[w.shard], w.token) }
 
-// lateStartPossible reports whether a start command may still arrive at w.
-func (w *worker) lateStartPossible() bool {
-	if w.startsMayArrive {
-		return true
-	}
-	for _, r := range w.runs {
-		if r.mayStartLate || r.state == runSent {
-			return true
-		}
-	}
-	return false
-}
-
-// raiseToken raises the token of commands to w, which has restarted, if a start command to an
-// earlier incarnation may still arrive. The present one has no record of the stop of that
-// run, but refuses the command once it has seen a higher token.
+// raiseToken raises the token of commands to w, which has restarted or may restart unnoticed,
+// if a start command with the present token may still arrive. The next incarnation has no
+// record of the stop of that run, but refuses the command once it has seen a higher token.
 func (d *dispatcher) raiseToken(w *worker) {
-	if _, led := d.terms[w.shard]; !led || d.unfenced || !w.lateStartPossible() {
+	if _, led := d.terms[w.shard]; !led || d.unfenced {
+		return
+	}
+	if l := w.latestStart(); l.token == 0 || l.token < d.token(w) {
 		return
 	}
 	w.token = peer.RaiseTerm(d.token(w))
-	w.startsMayArrive = false
 	d.effects.decide("worker-token-raised", w.ID, "zone", w.Zone, "term", d.terms[w.shard], "token", w.token)
 }
 
@@ -80,8 +95,8 @@
 func freshWorker(w *worker) *worker {
 	fresh := newWorker(w.Worker)
 	fresh.shard, fresh.speed, fresh.unproven = w.shard, w.speed, w.unproven
-	fresh.token, fresh.startsMayArrive = w.token, w.lateStartPossible()
-	if fresh.startsMayArrive {
+	fresh.token, fresh.lateStart = w.token, w.latestStart()
+	if fresh.lateStart.token > 0 {
 		fresh.incarnation = w.incarnation
 	}
 	return fresh
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -103,7 +103,9 @@
 	// mayStartLate is set if the outcome of a start command for the run is unknown.
 	// The command may be carried out late, even by another incarnation of the worker.
 	mayStartLate bool
-	state        runState
+	// token is the fencing token of the start command.
+	token uint64
+	state runState
 	// doubtAt is since when the outcome of the start command is in doubt, or zero.
 	doubtAt time.Time
 	// endDue is when the run should have ended, or zero if it is not known to run.
@@ -178,10 +180,12 @@
 	// provenAt is when the worker was last known to have carried out one.
 	lostStarts int
 	provenAt   time.Time
-	// startsMayArrive is set if a start command that was issued since token was raised may
-	// still arrive. token is the fencing token to use unless the term of the zone is higher.
-	startsMayArrive bool
-	token           uint64
+	// token is the fencing token to use unless the term of the zone is higher.
+	token uint64
+	// lateStart describes the start commands of removed runs that may still arrive.
+	lateStart lateStart
+	// restartPollSent is when the worker was last polled to notice its restart.
+	restartPollSent time.Time
 	// endsLate is set while a report is applied in which a run may have ended long before
 	// the report.
 	endsLate bool
