dispatch: one function for the waiting work of a job

It existed twice, with the run times expected at the arrival of the job and with the present ones. The plan of the queue, the loads and the redirection now use the former.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -218,15 +218,7 @@
 	for _, r := range started {
 		heap.Push(&p.releases, r)
 	}
-	p.ahead += j.waitingWork()
+	work, _ := j.waitingWork()
+	p.ahead += work
 	return f, true
 }
-
-// waitingWork returns the expected processor time of the waiting tasks in core-seconds.
-func (j *activeJob) waitingWork() float64 {
-	work := 0.0
-	for _, t := range j.waiting {
-		work += j.runTimes[t.id.Step].Seconds() * float64(j.Steps[t.id.Step].Needs.Millicores) / 1000
-	}
-	return work
-}
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -30,7 +30,7 @@
 		if j.Pool != pool {
 			continue
 		}
-		work, millicores := d.waitingWork(j)
+		work, millicores := j.waitingWork()
 		load.waiting += millicores
 		load.work[j.Urgency] += work
 	}
@@ -55,3 +55,14 @@
 	}
 	return time.Duration(ahead / (float64(l.capacity) / 1000) * float64(time.Second))
 }
+
+// waitingWork returns the expected processor time of the waiting tasks of j in core-seconds,
+// and the capacity that they need in thousandths of a core.
+func (j *activeJob) waitingWork() (work float64, millicores int) {
+	for _, t := range j.waiting {
+		needs := j.Steps[t.id.Step].Needs.Millicores
+		work += j.runTimes[t.id.Step].Seconds() * float64(needs) / 1000
+		millicores += needs
+	}
+	return work, millicores
+}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -53,7 +53,8 @@
 // queueRank returns the rank of j among jobs that are equal otherwise.
 func (j *activeJob) queueRank() float64 {
 	if j.scarce {
-		return j.waitingWork()
+		work, _ := j.waitingWork()
+		return work
 	}
 	return time.Duration(j.objective.Add(-j.chainTime).UnixNano()).Seconds()
 }
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -95,7 +95,7 @@
 		if j.Pool != pool {
 			continue
 		}
-		work, needs := d.waitingWork(j)
+		work, needs := j.waitingWork()
 		ahead += work
 		needed += needs
 		if !d.redirectable(j) {
@@ -113,23 +113,6 @@
 	return candidates
 }
 
-// waitingWork returns the expected processor time of the waiting tasks of j in core-seconds,
-// and the capacity that they need in thousandths of a core.
-func (d *dispatcher) waitingWork(j *activeJob) (work float64, millicores int) {
-	step, perTask := -1, 0.0
-	for _, t := range j.waiting {
-		needs := j.Steps[t.id.Step].Needs.Millicores
-		if t.id.Step != step {
-			step = t.id.Step
-			run := d.estimates.expectedRunTime(j.Route, j.Steps[step].Estimate)
-			perTask = run.Seconds() * float64(needs) / 1000
-		}
-		work += perTask
-		millicores += needs
-	}
-	return work, millicores
-}
-
 func (d *dispatcher) redirectCandidate(now time.Time, j *activeJob, millicores int, wait time.Duration) redirectCandidate {
 	data := d.dataZone(j)
 	if _, led := d.terms[data]; led {
@@ -187,7 +170,7 @@
 	if len(d.loads.zones) == 0 || d.otherLeaders(now) == 0 || !d.redirectable(j) {
 		return false
 	}
-	_, needs := d.waitingWork(j)
+	_, needs := j.waitingWork()
 	r := d.redirectDecision(now, j.Pool, d.poolLoad(now, j.Pool))
 	choices := r.choose([]redirectCandidate{d.redirectCandidate(now, j, needs, -1)})
 	for _, choice := range choices {
