--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -26,11 +26,11 @@
 	// overrunGrowth is the factor by which a run without reported progress exceeds its
 	// expected run time before its worker is asked again.
 	overrunGrowth = 1.5
-	// provenWindow is the time for which a confirmed start shows that a worker carries
-	// out starts, and provenLossLimit the number of lost starts in a row from which on
+	// confirmedStartWindow is the time for which a confirmed start shows that a worker carries
+	// out starts, and lostStartLimit the number of lost starts in a row from which on
 	// they count as failures of such a worker nevertheless.
-	provenWindow    = time.Second
-	provenLossLimit = 4
+	confirmedStartWindow = time.Second
+	lostStartLimit       = 4
 )
 
 // answered records that w itself has answered a command that was issued at issuedAt. If
@@ -41,7 +41,7 @@
 		d.typicalAnswers.record(now.Sub(issuedAt))
 	}
 	w.answeredAt = now
-	w.quiet = false
+	w.unresponsive = false
 	w.hedges = 0
 }
 
@@ -49,7 +49,7 @@
 // further task until it answers, unless it has answered another command since.
 func (w *worker) suspect(issuedAt time.Time) {
 	if !w.answeredAt.After(issuedAt) {
-		w.quiet = true
+		w.unresponsive = true
 	}
 }
 
@@ -93,7 +93,7 @@
 func (d *dispatcher) startConfirmed(now time.Time, w *worker, r *run) {
 	r.mayStartLate = false
 	w.lostStarts = 0
-	w.provenAt = now
+	w.startConfirmedAt = now
 	if r.state == runSent || r.state == runUnknown {
 		r.state = runStarted
 		d.runSettled(now, w, r, "started")
@@ -105,7 +105,7 @@
 // count as failures: the cause is then likely to be the worker.
 func (d *dispatcher) startLost(now time.Time, w *worker) {
 	w.lostStarts++
-	if now.Sub(w.provenAt) < provenWindow && w.lostStarts < provenLossLimit {
+	if now.Sub(w.startConfirmedAt) < confirmedStartWindow && w.lostStarts < lostStartLimit {
 		return
 	}
 	d.recordFailure(now, w, "start-outcome-unknown")
@@ -266,7 +266,7 @@
 // w is silent, and another run could only start once the lease has expired, too late for the
 // job to be worth anything.
 func (d *dispatcher) giveUpHopeless(now time.Time, w *worker) {
-	if !w.quiet || w.hedges < silentHedges || w.clockAt.IsZero() || now.Sub(w.sidePollSent) < d.overdueAfter(w) {
+	if !w.unresponsive || w.hedges < silentHedges || w.clockAt.IsZero() || now.Sub(w.sidePollSent) < d.overdueAfter(w) {
 		return
 	}
 	over := w.leaseOver()
--- a/dispatch/unusable.go
+++ b/dispatch/unusable.go
@@ -74,7 +74,7 @@
 		return 0, false
 	case !w.polled:
 		return DoubtUnpolled, true
-	case w.missedPolls > 0 || w.quiet:
+	case w.missedPolls > 0 || w.unresponsive:
 		return DoubtSilent, true
 	case now.Before(w.excludedUntil):
 		return DoubtExcluded, true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -141,7 +141,7 @@
 	// incarnationSince is when the first report of that incarnation arrived, or zero.
 	incarnationSince time.Time
 	runs             map[TaskID]*run
-	used        Resources
+	used             Resources
 	// orphans is the number of orphaned runs.
 	orphans int
 	// clock is the worker's clock. It was read no later than clockAt.
@@ -173,13 +173,13 @@
 	answers    answerTimes
 	answeredAt time.Time
 	hedges     int
-	// quiet is set while an answer is overdue and no other one has arrived since the
+	// unresponsive is set while an answer is overdue and no other one has arrived since the
 	// command.
-	quiet bool
+	unresponsive bool
 	// lostStarts counts the start commands in a row that were not carried out, and
-	// provenAt is when the worker was last known to have carried out one.
-	lostStarts int
-	provenAt   time.Time
+	// startConfirmedAt is when the worker was last known to have carried out one.
+	lostStarts       int
+	startConfirmedAt time.Time
 	// token is the fencing token to use unless the term of the zone is higher.
 	token uint64
 	// lateStart describes the start commands of removed runs that may still arrive.
@@ -216,7 +216,7 @@
 
 // usable reports whether the worker may be assigned a task at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.quiet && !w.gone(now) && !now.Before(w.excludedUntil)
+	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.unresponsive && !w.gone(now) && !now.Before(w.excludedUntil)
 }
 
 // gone reports whether the worker has been missing from the table for too long to be
