--- a/dispatch/even_waits.go
+++ b/dispatch/even_waits.go
@@ -68,7 +68,7 @@
 	if len(d.loads.zones) == 0 || j.late || !d.redirectable(j) || d.otherLeaders(now) == 0 {
 		return false
 	}
-	_, needs := d.waitingWork(j)
+	_, needs := j.waitingWork()
 	c := d.redirectCandidate(now, j, needs, -1)
 	for zone := range d.loads.zones {
 		if _, led := d.terms[zone]; led {
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -137,6 +137,7 @@
 	}
 	w.missedPolls++
 	if w.missedPolls > 1 {
+		d.raiseToken(w)
 		w.nextPoll = now.Add(min(pollRetryDelay<<min(w.missedPolls-2, 8), maxPollRetryDelay))
 	}
 }
@@ -144,11 +145,16 @@
 // applyReport applies a worker's report to its runs.
 func (d *dispatcher) applyReport(now time.Time, w *worker, poll Poll, report Report) {
 	if w.incarnation != 0 && report.Incarnation != w.incarnation {
+		if poll.IssuedAt.Before(w.incarnationSince) {
+			return // a late answer of a former incarnation
+		}
 		d.workerRestarted(now, w)
 		w.lastProcessed, w.unclaimedEnds, w.clockAt, w.leaseEnd, w.renewedUntil = 0, nil, time.Time{}, 0, 0
 		w.clockBound = clockBound{}
 	}
-	w.incarnation = report.Incarnation
+	if w.incarnation != report.Incarnation {
+		w.incarnation, w.incarnationSince = report.Incarnation, now
+	}
 	if !w.clockAt.IsZero() && (report.Clock < w.clock || (report.Clock == w.clock && poll.Number < w.latestReport)) {
 		return
 	}
@@ -157,6 +163,8 @@
 	w.latestReport = poll.Number
 	if w.missedPolls > 0 {
 		d.effects.decide("worker-back", w.ID, "misses", w.missedPolls)
+		w.nextPoll = now
+		d.pollDue = append(d.pollDue, w)
 	}
 	w.missedPolls = 0
 	w.clockBound.note(poll.IssuedAt, report.Clock)
@@ -317,6 +325,9 @@
 
 // concludeRun concludes that a run is not running any more.
 func (d *dispatcher) concludeRun(now time.Time, w *worker, r *run, why string) {
+	if r.state == runSent {
+		r.mayStartLate = true
+	}
 	d.effects.decide("run-not-running", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number, "why", why)
 	d.runSettled(now, w, r, why)
 	d.runEnded(now, w, r, RunAborted)
@@ -358,6 +369,7 @@
 	_, led := d.terms[w.shard]
 	if (w.missedPolls > 0 || !led || !w.polled) && w.allRunsExpired(now) {
 		d.concludeAllRuns(now, w, "lapsed")
+		d.raiseToken(w)
 		return
 	}
 	if !led {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -103,7 +103,9 @@
 	// mayStartLate is set if the outcome of a start command for the run is unknown.
 	// The command may be carried out late, even by another incarnation of the worker.
 	mayStartLate bool
-	state        runState
+	// token is the fencing token of the start command.
+	token uint64
+	state runState
 	// doubtAt is since when the outcome of the start command is in doubt, or zero.
 	doubtAt time.Time
 	// endDue is when the run should have ended, or zero if it is not known to run.
@@ -136,8 +138,10 @@
 	// polled is set once the worker has answered a poll of this leader.
 	polled      bool
 	incarnation int64
-	runs        map[TaskID]*run
-	used        Resources
+	// incarnationSince is when the first report of that incarnation arrived, or zero.
+	incarnationSince time.Time
+	runs             map[TaskID]*run
+	used             Resources
 	// orphans is the number of orphaned runs.
 	orphans int
 	// clock is the worker's clock. It was read no later than clockAt.
@@ -173,17 +177,19 @@
 	trip       time.Duration
 	answeredAt time.Time
 	hedges     int
-	// quiet is set while an answer is overdue and no other one has arrived since the
+	// unresponsive is set while an answer is overdue and no other one has arrived since the
 	// command.
-	quiet bool
+	unresponsive bool
 	// lostStarts counts the start commands in a row that were not carried out, and
-	// provenAt is when the worker was last known to have carried out one.
-	lostStarts int
-	provenAt   time.Time
-	// startsMayArrive is set if a start command that was issued since token was raised may
-	// still arrive. token is the fencing token to use unless the term of the zone is higher.
-	startsMayArrive bool
-	token           uint64
+	// startConfirmedAt is when the worker was last known to have carried out one.
+	lostStarts       int
+	startConfirmedAt time.Time
+	// token is the fencing token to use unless the term of the zone is higher.
+	token uint64
+	// lateStart describes the start commands of removed runs that may still arrive.
+	lateStart lateStart
+	// restartPollSent is when the worker was last polled to notice its restart.
+	restartPollSent time.Time
 	// endsWithin is the longest time before the latest report at which a run that it lists
 	// as ended may have ended.
 	endsWithin time.Duration
@@ -214,7 +220,7 @@
 
 // usable reports whether the worker may be assigned a task at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.quiet && !w.gone(now) && !now.Before(w.excludedUntil)
+	return w.polled && !w.Leaving && w.orphans == 0 && w.missedPolls == 0 && !w.unresponsive && !w.gone(now) && !now.Before(w.excludedUntil)
 }
 
 // gone reports whether the worker has been missing from the table for too long to be
