dispatch: a new leader of a drained zone awaits the loads of the other zones

A leader that had just taken over a drained zone refused its jobs at once, because it had received no load yet, and kept them for 0.5 s where it had one. It keeps them now until it has led for 0.5 s, and redirects them with the first load: nothing of its drained workers has to be known for that.

--- a/dispatch/drained_zones.go
+++ b/dispatch/drained_zones.go
@@ -156,13 +156,24 @@
 	if len(pools) == 0 {
 		return
 	}
+	awaitsLoads := d.awaitsLoads(now)
 	for _, j := range slices.Clone(d.queue.jobs) {
-		if pools[j.Pool] && j.placed == 0 && d.startable(now, j) {
-			d.giveUp(now, j, reasonDrained)
+		if !pools[j.Pool] || j.placed > 0 || !d.startable(now, j) || (awaitsLoads && d.redirectable(j)) {
+			continue
 		}
+		d.giveUp(now, j, reasonDrained)
 	}
 }
 
+// awaitsLoads reports whether this instance has led its zones for so short a time that it may
+// not have received the loads of the other zones yet.
+func (d *dispatcher) awaitsLoads(now time.Time) bool {
+	return !d.settled(now) && slices.ContainsFunc(d.sortedWorkers, func(w *worker) bool {
+		_, led := d.terms[w.shard]
+		return !led
+	})
+}
+
 // drainedPools returns the pools of which this instance leads workers in drained zones,
 // and none in other zones that may be assigned a task later.
 func (d *dispatcher) drainedPools(now time.Time) map[string]bool {
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -40,9 +40,10 @@
 
 // redirectWaiting redirects waiting jobs to other zones.
 func (d *dispatcher) redirectWaiting(now time.Time) {
-	if len(d.loads.zones) == 0 || len(d.queue.jobs) == 0 || d.otherLeaders(now) == 0 || !d.settled(now) {
+	if len(d.loads.zones) == 0 || len(d.queue.jobs) == 0 || d.otherLeaders(now) == 0 {
 		return
 	}
+	settled, drained := d.settled(now), d.drainedPools(now)
 	d.queue.sort()
 	var pools []string
 	for _, j := range d.queue.jobs {
@@ -51,7 +52,7 @@
 		}
 	}
 	for _, pool := range pools {
-		if len(d.loads.offers(now, pool, 1)) == 0 {
+		if !(settled || drained[pool]) || len(d.loads.offers(now, pool, 1)) == 0 {
 			continue
 		}
 		load := d.poolLoad(now, pool)
@@ -83,7 +84,7 @@
 		_, led := d.terms[o.zone]
 		return led
 	})
-	return redirectDecision{home: d.ledZones()[0], homeless: load.capacity == 0 && d.settled(now), offers: offers}
+	return redirectDecision{home: d.ledZones()[0], homeless: load.capacity == 0 && (d.settled(now) || d.drainedPools(now)[pool]), offers: offers}
 }
 
 // redirectCandidates returns the jobs of a pool that may be redirected, in the order of the
