dispatch: a job that returns home waits for its runs in the other zone

A redirected job that may have run returned home while the home zone had no leader. The next home leader was told that the runs of earlier leaders end 1.25 s after the lost one's last heartbeat, which may be earlier than the runs in the other zone: two runs at once. The later of the two times counts now.

When the number of shards changes, redirected jobs return home at once instead of after 1.5 s without a leader of a shard that does not exist any more.

New: redirects between the shards of a zone, and skewed demand within a zone in TestRandomFaultsWithTwoShardsPerZone.

--- a/dispatch/drained_zones.go
+++ b/dispatch/drained_zones.go
@@ -158,10 +158,12 @@
 	}
 	awaitsLoads := d.awaitsLoads(now)
 	for _, j := range slices.Clone(d.queue.jobs) {
-		if !pools[j.Pool] || j.placed > 0 || !d.startable(now, j) || (awaitsLoads && d.redirectable(j)) {
+		if awaitsLoads && d.redirectable(j) {
 			continue
 		}
-		d.giveUp(now, j, reasonDrained)
+		if pools[j.Pool] && j.placed == 0 && d.startable(now, j) {
+			d.giveUp(now, j, reasonDrained)
+		}
 	}
 }
 
--- a/dispatch/followed_zone.go
+++ b/dispatch/followed_zone.go
@@ -79,14 +79,20 @@
 	for _, o := range jobs {
 		if o.everForwarded {
 			r.withdrawFromFormer(now, o)
-			o.job.EarlierLeaders++
-			o.job.EarlierRunsEndBy = earlierRunsEndBy
+			o.mayHaveRun(earlierRunsEndBy)
 		}
 		o.forwarded = false
 		r.forward(now, o)
 	}
 }
 
+// mayHaveRun records that another leader had the job, whose runs have ended by endBy. The runs
+// of the leaders before it may end later, in another zone.
+func (o *openJob) mayHaveRun(endBy time.Time) {
+	o.job.EarlierLeaders++
+	o.job.EarlierRunsEndBy = later(o.job.EarlierRunsEndBy, endBy)
+}
+
 // jobsOf returns the open jobs that are forwarded to the leader of z, in the order of their
 // IDs.
 func (r *receiver) jobsOf(z *followedZone) []*openJob {
@@ -155,8 +161,7 @@
 	o.zone, o.job.Zone = r.home, r.home.name
 	r.withdrawFromFormer(now, o)
 	if mayHaveRun {
-		o.job.EarlierLeaders++
-		o.job.EarlierRunsEndBy = from.earlierRunsEndBy(now)
+		o.mayHaveRun(from.earlierRunsEndBy(now))
 	}
 	o.forwarded = false
 	r.forward(now, o)
--- a/dispatch/shards.go
+++ b/dispatch/shards.go
@@ -128,6 +128,7 @@
 	if !changed {
 		return
 	}
+	i.receiver.leaveShards(now)
 	i.dispatcher.assignShards()
 	for _, p := range i.peers {
 		if len(p.ignoredZones) > 0 {
@@ -170,3 +171,14 @@
 		r.home.leaderlessSince = now
 	}
 }
+
+// leaveShards takes the redirected jobs home, because the shards to whose leaders they are
+// forwarded do not exist any more.
+func (r *receiver) leaveShards(now time.Time) {
+	for _, z := range r.zones[1:] {
+		for _, o := range r.jobsOf(z) {
+			r.returnHome(now, o, "shards-changed", o.forwards > 0)
+		}
+	}
+	r.zones = r.zones[:1]
+}
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/dispatch"
@@ -155,6 +156,8 @@
 			n.simulation.acceptedFromOthers++
 		} else {
 			n.simulation.redirected++
+			zone, _, _ := strings.Cut(r.Zone, "/")
+			n.simulation.redirectedTo[zone]++
 		}
 	}
 	for _, s := range e.Starts {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -88,6 +88,8 @@
 	// redirected and acceptedFromOthers count the jobs that leaders have redirected and
 	// those that the leaders of other zones have accepted.
 	redirected, acceptedFromOthers int
+	// redirectedTo counts the jobs that leaders have redirected by the availability zone.
+	redirectedTo map[string]int
 	// startedInZone counts the starts on the workers of each zone, unless it is nil.
 	startedInZone map[string]int
 	simulationConfig
@@ -158,6 +160,7 @@
 		disconnected:     make(map[[2]string]bool),
 		jobs:             make(map[string]*simulatedJob),
 		tablesSent:       make(map[netip.AddrPort]int),
+		redirectedTo:     make(map[string]int),
 		drains:           drainStore{since: make(map[string]time.Time)},
 	}
 	for z, zone := range simulationZones {
@@ -290,6 +293,9 @@
 		sim.resubmit(j)
 		return
 	}
+	if sim.shards && sim.random.IntN(2) == 0 {
+		live = live[:1] // more than its shard can run
+	}
 	live[sim.random.IntN(len(live))].submit(j)
 }
 
