peer: claims to former shards are not counted

A heartbeat that was sent before a change of the number of shards may arrive after it. Its claim stayed in the counts that decide which of two leaders is replaced, so that both could stay. Only the present shards count now; the claim's term still raises later terms. TestClaimsToFormerShardsAreNotCounted fails without the change.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -79,8 +79,8 @@
 	return true
 }
 
-// receiveHeartbeat handles a peer's heartbeat, with its list of drained zones. It replies if the peer asks for it, and
-// sends the configuration if the peer requests it.
+// receiveHeartbeat handles a peer's heartbeat, with its list of drained zones. It replies if
+// the peer asks for it, and sends the configuration if the peer requests it.
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	i.dispatcher.setDrainedZones(now, env.Beat.DrainedRevision, env.Beat.DrainedZones, from.String())
 	p := i.peer(from)
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -43,7 +43,7 @@
 	if len(d.loads.zones) == 0 || len(d.queue.jobs) == 0 || d.otherLeaders(now) == 0 {
 		return
 	}
-	settled, drained := d.settled(now), d.drainedPools(now)
+	settled := d.settled(now)
 	d.queue.sort()
 	var pools []string
 	for _, j := range d.queue.jobs {
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, pool := range pools {
-		if !(settled || drained[pool]) || len(d.loads.offers(now, pool, 1)) == 0 {
+		if (!settled && !d.drainedPools(now)[pool]) || len(d.loads.offers(now, pool, 1)) == 0 {
 			continue
 		}
 		load := d.poolLoad(now, pool)
--- a/peer/recipients.go
+++ b/peer/recipients.go
@@ -15,7 +15,8 @@
 // together would load every instance with the size of the whole system. A leader then
 // sends its heartbeats to the instances of its own zone and of the zones that it leads, to
 // the other leaders, to the receivers of jobs that were redirected to it and, less often, to
-// the instances of a zone of which it knows no live leader. An instance that looks for a leader queries its zone and a few others.
+// the instances of a zone of which it knows no live leader. An instance that looks for a
+// leader queries its zone and a few others.
 func (l *Leadership) Recipients(now time.Time) []netip.AddrPort {
 	if len(l.announceTo) > 0 {
 		to := l.announceTo
--- a/peer/shards_test.go
+++ b/peer/shards_test.go
@@ -348,3 +348,18 @@
 		is.Equal(decoded, s)
 	}
 }
+
+// Guards against two leaders that both stay because one of them counts claims to shards that
+// do not exist any more: a heartbeat that was sent before the change arrives after it.
+func TestClaimsToFormerShardsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := NewLeadership(now, LeadershipConfig{Self: shardAddress(0), Zone: shardZones[0], Zones: shardZones, Wall: now})
+	l.DecideShards(now, 2)
+	late := &Beat{Leads: []*Lead{{Zone: l.Shards()[0], Term: 1 << 50}}, Shards: l.sharding.encode()}
+	l.DecideShards(now, 1)
+	l.Receive(now, shardAddress(1), shardZones[0], false, late)
+	is.Equal(l.zonesPerLeader()[shardAddress(1)], 0)
+	l.claim(now, shardZones[0])
+	is.True(l.claims[shardZones[0]].Term > 1<<50) // the term is above that claim's nevertheless
+}
--- a/peer/succession.go
+++ b/peer/succession.go
@@ -209,8 +209,10 @@
 // zonesPerLeader returns the number of zones of each leader.
 func (l *Leadership) zonesPerLeader() map[netip.AddrPort]int {
 	counts := make(map[netip.AddrPort]int)
-	for _, c := range l.claims {
-		counts[c.Leader]++
+	for _, zone := range l.shards { // claims to former shards may still arrive
+		if c, ok := l.claims[zone]; ok {
+			counts[c.Leader]++
+		}
 	}
 	return counts
 }
