dispatch: a late task does not wait for a worker of a drained zone

fasterSoon counted a faster worker of a drained zone that would come free, although no task may start there. TestLateTaskDoesNotWaitForADrainedWorker fails without the change.

--- a/dispatch/slow_workers.go
+++ b/dispatch/slow_workers.go
@@ -25,7 +25,7 @@
 	step := &t.job.Steps[t.id.Step]
 	for _, w := range d.ledWorkers() {
 		onIt := d.runTimeOn(w, step, expected)
-		if onIt >= runTime || w.Pool != t.job.Pool || !w.usable(now) || d.unreadZones[w.shard] ||
+		if onIt >= runTime || w.Pool != t.job.Pool || !d.available(now, w) || d.unreadZones[w.shard] ||
 			!w.eligible(step, t) || !d.startsAllowed(now, w) {
 			continue
 		}
--- a/dispatch/slow_workers_test.go
+++ b/dispatch/slow_workers_test.go
@@ -94,3 +94,26 @@
 		is.Equal(d.chooseWorker(now, waiting).ID, want)
 	}
 }
+
+// TestLateTaskDoesNotWaitForADrainedWorker guards against a late task that waits for a faster
+// worker on which nothing is started, because its zone is drained.
+func TestLateTaskDoesNotWaitForADrainedWorker(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	d := newZone(start)
+	d.setTerm(start, "b", 1)
+	fast := d.workers["w-fast"].Worker
+	fast.Zone = "b"
+	d.setWorker(start, fast)
+	d.workers["w-fast"].polled = true
+	d.start(start, d.workers["w-fast"], d.zoneTask(start, "1", ""))
+	d.setDrainedZones(start, 2, []string{"b"}, fromStore)
+	d.workers["w-fast"].speed = 1.2
+	now := start.Add(10 * ms)
+	late := d.zoneTask(now, "2", "")
+	late.job.objective, late.job.late = now.Add(20*ms), true
+	d.findOpenWorkers(now)
+	w := d.chooseWorker(now, late)
+	is.True(w != nil)
+	is.Equal(w.ID, "w-slow")
+}
