dispatch, cmd/amaranthwell: where shows where a job would go now

An operator could see only afterwards, from logs, why a job waited, left its zone or was refused. Instance.Preview decides about a job on a copy of the queue, the demand and the sizes, with the decision functions of the leader, and changes nothing. GET /where on the metrics port answers with it, at most four times a second; the command where asks an instance and its leader. planJob is taken out of planQueue for that, unchanged. Not tested yet.

--- a/cmd/amaranthwell/main.go
+++ b/cmd/amaranthwell/main.go
@@ -1,13 +1,16 @@
 // Command amaranthwell runs an entry instance. For operators it also checks and
 // publishes the tables of routes and pools, shows the configuration in force and its
-// changes, submits jobs, and extracts from logs what happened to a request.
+// changes, submits jobs, extracts from logs what happened to a request, and shows where a job
+// would go.
 //
 // Exit codes:
 //
 //	0  done; for publish, the edit was accepted; for submit, the job is complete
-//	1  the files are invalid, the edit was refused, or the job failed or did not run
+//	1  the files are invalid, the edit was refused, or the job failed or did not run;
+//	   for where, the job would be refused, or the route or an amount is invalid
 //	2  the command line is wrong, or a file cannot be read
-//	3  unknown: the log or the entry instances gave no answer or an incomplete one;
+//	3  unknown: the log, the entry instances or, for where, the leader gave no answer or an
+//	   incomplete one;
 //	   for entry and serve, the instance could not run
 package main
 
@@ -118,6 +121,9 @@
 	mustAdd(parser.AddCommand("explain", "Show what happened to a request",
 		"Reads the logs of instances and prints in order of time the lines about one request, with the events of that time about leaders, the store and the workers that ran its tasks.",
 		&explainCommand{env: env}))
+	mustAdd(parser.AddCommand("where", "Show where a job would go now",
+		"Asks an instance on the platform, and the leader to which it would forward the job, where a job would go now and why, without submitting it.",
+		&whereCommand{env: env}))
 }
 
 // mustAdd panics if the options of a command are declared incorrectly.
@@ -150,11 +156,14 @@
 	var url *logservice.ConfigError
 	var request *caller.RequestError
 	var incomplete *incompleteError
+	var where *whereError
 	switch {
 	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &url):
 		return exitUsage
 	case errors.As(err, &check), errors.As(err, &record), errors.As(err, &logRefusal), errors.As(err, &request):
 		return exitRefused
+	case errors.As(err, &where) && where.refused:
+		return exitRefused
 	case errors.As(err, &incomplete) && incomplete.answer.Status != caller.Unknown:
 		return exitRefused
 	default:
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -176,6 +176,7 @@
 		s.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	scrape.Handle("GET /where", newPreviewHandler(s))
 	for _, port := range []struct {
 		address string
 		server  *http.Server
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -88,26 +88,33 @@
 		if pool == nil || pool.capacity == 0 || !d.startable(now, j) {
 			continue
 		}
-		waitFactor := d.demand.waitFactor(now, j, pool.capacity)
-		f, fits := pool.plan(j, func(start time.Duration) bool {
-			if j.started || j.reserved {
-				return true
-			}
-			wait := start
-			if start >= minForecastWait {
-				wait = time.Duration(float64(start) * waitFactor)
-			}
-			return !now.Add(wait + d.minChainTime(j)).After(j.usefulUntil())
-		})
-		j.forecast = f
-		if !fits {
-			j.forecast.start = time.Duration(float64(f.start) * waitFactor)
+		if !d.planJob(now, pool, j) {
 			d.giveUp(now, j, j.hopelessReason())
 		}
 		j.planned = true
 	}
 }
 
+// planJob adds j to the plan of its pool, and reports whether it can end in time.
+func (d *dispatcher) planJob(now time.Time, pool *poolPlan, j *activeJob) bool {
+	waitFactor := d.demand.waitFactor(now, j, pool.capacity)
+	f, fits := pool.plan(j, func(start time.Duration) bool {
+		if j.started || j.reserved {
+			return true
+		}
+		wait := start
+		if start >= minForecastWait {
+			wait = time.Duration(float64(start) * waitFactor)
+		}
+		return !now.Add(wait + d.minChainTime(j)).After(j.usefulUntil())
+	})
+	j.forecast = f
+	if !fits {
+		j.forecast.start = time.Duration(float64(f.start) * waitFactor)
+	}
+	return fits
+}
+
 // usefulUntil returns the time by which j must end to be worth its resources under overload:
 // its objective or, if it cannot meet that, the time after which its end is worthless.
 func (j *activeJob) usefulUntil() time.Time {
--- a/dispatch/routes.go
+++ b/dispatch/routes.go
@@ -61,3 +61,13 @@
 	}
 	return Route{}, false
 }
+
+// Named returns the route with the given name, and whether there is one.
+func (t *Tables) Named(name string) (Route, bool) {
+	for _, routes := range t.byHost {
+		if n := slices.IndexFunc(routes, func(r Route) bool { return r.Name == name }); n >= 0 {
+			return routes[n], true
+		}
+	}
+	return Route{}, false
+}
