--- a/cmd/amaranthwell/operations_test.go
+++ b/cmd/amaranthwell/operations_test.go
@@ -47,6 +47,8 @@
 		{"../../dispatch/followed_zone.go", `(?:decide|routine|note)\("([a-z-]+[a-z])"`, 3},
 		{"../../dispatch/redirects.go", `(?:decide|routine|note)\("([a-z-]+[a-z])"`, 1},
 		{"../../dispatch/redirect.go", ` = "([a-z-]+)"`, 5},
+		{"../../dispatch/preview_decision.go", ` += "([a-z-]+)"`, 10},
+		{"../../dispatch/preview.go", `Outcome = "([a-z-]+)"`, 4},
 		{"../../dispatch/instance.go", `(?:decide|routine|note)\("([a-z-]+[a-z])"`, 5},
 		{"../../dispatch/polls.go", `(?:decide|routine|note)\("([a-z-]+[a-z])"`, 4},
 		{"../../dispatch/receiver.go", `(?:decide|routine|note)\("([a-z-]+[a-z])"`, 3},
--- a/cmd/amaranthwell/where.go
+++ b/cmd/amaranthwell/where.go
@@ -177,7 +177,7 @@
 	for _, q := range d.Ahead {
 		fmt.Fprintf(out, "  ahead urgency=%d jobs=%d tasks=%d core-seconds=%.3f\n", q.Urgency, q.Jobs, q.Tasks, q.CoreSeconds)
 	}
-	fmt.Fprintf(out, "  workers pool=%s total=%d fit=%d", d.Workers.Pool, d.Workers.Total, d.Workers.Fit)
+	fmt.Fprintf(out, "  workers pool=%s total=%d fit=%d room-tasks=%d", d.Workers.Pool, d.Workers.Total, d.Workers.Fit, d.Workers.Room)
 	for _, reason := range slices.Sorted(maps.Keys(d.Workers.Others)) {
 		fmt.Fprintf(out, " %s=%d", reason, d.Workers.Others[reason])
 	}
--- a/dispatch/preview.go
+++ b/dispatch/preview.go
@@ -119,9 +119,11 @@
 type PreviewWorkers struct {
 	Pool string `json:"pool"`
 	// Total is the number of workers, Fit the number of those that could run a task now,
-	// and Others the number of the others by the reason why they could not.
+	// and Others the number of the others by the reason why they could not. Room is the
+	// number of tasks for which they have room, for each worker at most those of the job.
 	Total  int            `json:"total"`
 	Fit    int            `json:"fit"`
+	Room   int            `json:"room_tasks"`
 	Others map[string]int `json:"others"`
 	// Chosen are the workers of the first tasks.
 	Chosen []PreviewWorker `json:"chosen"`
--- a/dispatch/preview_decision.go
+++ b/dispatch/preview_decision.go
@@ -128,7 +128,7 @@
 		p.Workers.Chosen = append(p.Workers.Chosen, chosen)
 		d.reserve(now, w, t)
 	}
-	if d.tasksThatFit(now, j) < len(j.waiting)-len(p.Workers.Chosen) {
+	if p.Workers.Room < len(j.waiting) {
 		p.Reason = reasonBusy
 		return false
 	}
@@ -158,21 +158,6 @@
 	d.open[slices.Index(d.open, w)] = &c
 }
 
-// tasksThatFit returns the number of tasks of the first step of j for which the open workers
-// have room.
-func (d *dispatcher) tasksThatFit(now time.Time, j *activeJob) int {
-	t := j.waiting[0]
-	step := &j.Steps[t.id.Step]
-	n := 0
-	for _, w := range d.open {
-		if w.Pool != j.Pool || d.obstacle(now, w, t) != "" {
-			continue
-		}
-		n += min(len(j.waiting), roomFor(w, t, step))
-	}
-	return n
-}
-
 // roomFor returns the number of tasks like t for which w has room.
 func roomFor(w *worker, t *task, step *Step) int {
 	free, needs := w.free(), step.Needs
@@ -215,13 +200,19 @@
 		d.previewGivenUp(now, j, p, j.hopelessReason())
 		return
 	}
+	load := d.poolLoad(now, j.Pool)
+	candidates := d.redirectCandidates(now, j.Pool, load)
+	n := slices.IndexFunc(candidates, func(c redirectCandidate) bool { return c.id == j.ID })
+	if p.Start != nil && *p.Start == 0 && n >= 0 && candidates[n].wait > 0 {
+		// The plan does not let the last tasks of a job wait for the first ones.
+		p.expect(candidates[n].wait, j.chainTime)
+	}
 	if len(d.loads.zones) == 0 || d.otherLeaders(now) == 0 || !d.settled(now) {
 		return
 	}
-	load := d.poolLoad(now, j.Pool)
 	r := d.redirectDecision(now, j.Pool, load)
 	if len(r.offers) > 0 {
-		p.redirect(j, r.choose(d.redirectCandidates(now, j.Pool, load)))
+		p.redirect(j, r.choose(candidates))
 	}
 }
 
@@ -303,6 +294,7 @@
 // previewWorkers counts the workers of the pool of j that could run its first task now, and
 // the others by the reason.
 func (d *dispatcher) previewWorkers(now time.Time, j *activeJob) PreviewWorkers {
+	step := &j.Steps[j.waiting[0].id.Step]
 	p := PreviewWorkers{Pool: j.Pool, Others: make(map[string]int), Chosen: []PreviewWorker{}}
 	for _, w := range d.ledWorkers() {
 		if w.Pool != j.Pool {
@@ -314,6 +306,7 @@
 			continue
 		}
 		p.Fit++
+		p.Room += min(len(j.waiting), roomFor(w, j.waiting[0], step))
 	}
 	return p
 }
