--- a/cmd/amaranthwell/where_handler.go
+++ b/cmd/amaranthwell/where_handler.go
@@ -16,7 +16,7 @@
 	// previewInterval is the shortest time between two previews of a process: a preview
 	// copies the queue and looks at all workers in the control goroutine.
 	previewInterval = 250 * time.Millisecond
-	// maxPreviewTasks bounds the tasks of a previewed job.
+	// maxPreviewTasks bounds the tasks of a previewed job, as those of a job of the platform.
 	maxPreviewTasks = 10_000
 	// maxPreviewAmount bounds the other numbers of a previewed job.
 	maxPreviewAmount = 1 << 30
--- a/dispatch/preview.go
+++ b/dispatch/preview.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -177,12 +178,15 @@
 			p.Leader.Age = 0
 		}
 	}
-	if _, led := i.dispatcher.terms[p.Home]; led && len(newActiveJob(job).waiting) > 0 {
+	if _, led := i.dispatcher.terms[p.Home]; led && slices.ContainsFunc(job.Steps, Step.startsFirst) {
 		p.Decision = i.dispatcher.preview(now, p.Home, job)
 	}
 	return p
 }
 
+// startsFirst reports whether the step has tasks that wait for no other step.
+func (s Step) startsFirst() bool { return s.Tasks > 0 && len(s.After) == 0 }
+
 // ageOf returns the time since at, or nil if at is zero.
 func ageOf(now, at time.Time) *Millis {
 	if at.IsZero() {
--- a/dispatch/preview_test.go
+++ b/dispatch/preview_test.go
@@ -41,39 +41,39 @@
 	for _, test := range []struct {
 		name     string
 		tasks    int
-		prepare  func(*scriptedInstance, *is.I)
+		prepare  func(*scriptedInstance)
 		outcome  dispatch.PreviewOutcome
 		reason   string
 		to       string
 		fit      int
 		obstacle string
 	}{
-		{"free", 1, func(s *scriptedInstance, _ *is.I) { s.lead() }, dispatch.PreviewStarts, "", "", 1, ""},
-		{"two of three tasks", 3, func(s *scriptedInstance, _ *is.I) {
+		{"free", 1, func(s *scriptedInstance) { s.lead() }, dispatch.PreviewStarts, "", "", 1, ""},
+		{"two of three tasks", 3, func(s *scriptedInstance) {
 			s.lead()
 			s.addWorkers("editor", 2, 1)
 			s.advance(50 * time.Millisecond)
 		}, dispatch.PreviewWaits, "busy", "", 2, ""},
-		{"overloaded", 1, func(s *scriptedInstance, _ *is.I) {
+		{"overloaded", 1, func(s *scriptedInstance) {
 			s.lead()
 			s.occupy("5c0e7a21d94b36f8", time.Second)
 		}, dispatch.PreviewRefused, "no-capacity", "", 0, "busy"},
-		{"drained", 1, func(s *scriptedInstance, _ *is.I) {
+		{"drained", 1, func(s *scriptedInstance) {
 			s.lead()
 			s.SetDrainedZones(s.now, 2, []string{homeZone})
 		}, dispatch.PreviewRefused, "drained", "", 0, "drained"},
-		{"other pool", 1, func(s *scriptedInstance, is *is.I) {
+		{"no workers", 1, func(s *scriptedInstance) {
 			s.lead()
 			s.RemoveWorker(s.now, "w-1")
 			s.advance(3 * time.Second)
 		}, dispatch.PreviewWaits, "no-workers", "", 0, ""},
-		{"redirected", 1, func(s *scriptedInstance, _ *is.I) {
+		{"redirected", 1, func(s *scriptedInstance) {
 			s.Instance = newInstanceOfTwoZones().Instance
 			s.leadHomeZone()
 			s.leave()
 			s.leadsWithRoom()
 		}, dispatch.PreviewRedirected, "no-workers", otherZone, 0, "leaving"},
-		{"zone lost, others full", 1, func(s *scriptedInstance, _ *is.I) {
+		{"zone lost, others full", 1, func(s *scriptedInstance) {
 			s.Instance = newInstanceOfTwoZones().Instance
 			s.leadHomeZone()
 			s.leave()
@@ -82,7 +82,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newScriptedInstance()
-			test.prepare(s, is)
+			test.prepare(s)
 			job := s.large("5c0e7a21d94b36f9", test.tasks)
 			p := s.previewed(is, "", job)
 			is.Equal(p.Leader.Address, selfAddress)
