--- a/dispatch/slow_workers_test.go
+++ b/dispatch/slow_workers_test.go
@@ -36,7 +36,7 @@
 		Tasks: 1, Needs: Resources{Millicores: 8000, Memory: 1}, Estimate: 60 * ms, Rack: rack,
 	}}})
 	j.receivers[d.self] = "a"
-	j.objective = now.Add(time.Second)
+	j.objective, j.runTimes = now.Add(time.Second), []time.Duration{60 * ms}
 	d.jobs[id] = j
 	d.queue.add(j)
 	return j.steps[0][0]
