--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -31,9 +31,7 @@
 		// The job has returned.
 		delete(d.ends, job.ID)
 		kept = nil
-	case kept.resubmitted(job):
-		// Its worth depends on the caller's first request.
-		job.Arrived = kept.arrived
+	case kept.resubmit(&job):
 		delete(d.ends, job.ID)
 		kept = nil
 	}
@@ -169,7 +167,7 @@
 	if end.State != Redirected {
 		d.sizes.record(j, end.State == Completed)
 	}
-	kept := &keptEnd{end: end, at: now, arrived: j.Arrived}
+	kept := &keptEnd{end: end, at: now, arrived: j.Arrived, earlierLeaders: j.EarlierLeaders, earlierRunsEndBy: j.EarlierRunsEndBy}
 	for addr := range j.receivers {
 		kept.receivers = append(kept.receivers, addr)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -121,12 +121,24 @@
 	receivers []netip.AddrPort
 	// arrived is when the job arrived from its caller for the first time.
 	arrived time.Time
+	// earlierLeaders and earlierRunsEndBy are those of the job.
+	earlierLeaders   int
+	earlierRunsEndBy time.Time
 }
 
-// resubmitted reports whether job is a new submission of a job that was refused: a receiver
-// that has only missed the refusal marks the job as one that was forwarded before.
-func (k *keptEnd) resubmitted(job Job) bool {
-	return k.end.State == NotRun && job.EarlierLeaders == 0
+// resubmit reports whether job is a new submission of a job that was refused or given up, and
+// continues the account of it: its worth depends on the caller's first request, and runs of
+// its tasks may have been started before. A receiver that has only missed the end marks the
+// job as one that was forwarded before.
+func (k *keptEnd) resubmit(job *Job) bool {
+	if job.EarlierLeaders > 0 || (k.end.State != NotRun && k.end.State != Overdue) {
+		return false
+	}
+	job.Arrived = k.arrived
+	if k.end.State == Overdue {
+		job.EarlierLeaders, job.EarlierRunsEndBy = k.earlierLeaders+1, k.earlierRunsEndBy
+	}
+	return true
 }
 
 func newDispatcher(self netip.AddrPort, runConfirmation time.Duration) *dispatcher {
--- a/dispatch/drained_zones.go
+++ b/dispatch/drained_zones.go
@@ -158,7 +158,7 @@
 	}
 	awaitsLoads := d.awaitsLoads(now)
 	for _, j := range slices.Clone(d.queue.jobs) {
-		if awaitsLoads && d.redirectable(j) {
+		if awaitsLoads && d.redirectable(now, j) {
 			continue
 		}
 		if pools[j.Pool] && j.placed == 0 && d.startable(now, j) {
--- a/dispatch/even_waits.go
+++ b/dispatch/even_waits.go
@@ -65,7 +65,7 @@
 // the next load of another zone may let this leader redirect it: that zone has free capacity,
 // and the job can still end in time there.
 func (d *dispatcher) awaitsRoom(now time.Time, j *activeJob) bool {
-	if len(d.loads.zones) == 0 || j.late || !d.redirectable(j) || d.otherLeaders(now) == 0 {
+	if len(d.loads.zones) == 0 || j.late || !d.redirectable(now, j) || d.otherLeaders(now) == 0 {
 		return false
 	}
 	_, needs := j.waitingWork()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -257,9 +257,10 @@
 	waitLogged bool
 }
 
-// worthlessAfter returns the time after which the end of the job is worthless.
+// worthlessAfter returns the time after which the end of the job is worthless. A caller that
+// submits a job again waits for it again.
 func (j *activeJob) worthlessAfter() time.Time {
-	return j.Arrived.Add(lateFactor * j.objective.Sub(j.Arrived))
+	return j.submitted.Add(lateFactor * j.objective.Sub(j.Arrived))
 }
 
 // maxWaitUntil returns the time until which the job may wait for its first start.
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -100,7 +100,7 @@
 		work, needs := j.waitingWork()
 		ahead += work
 		needed += needs
-		if !d.redirectable(j) {
+		if !d.redirectable(now, j) {
 			continue
 		}
 		wait := time.Duration(-1)
@@ -148,10 +148,12 @@
 	return found
 }
 
-// redirectable reports whether j may be redirected: it was not redirected before, and no
-// leader has ever issued a start command for it.
-func (d *dispatcher) redirectable(j *activeJob) bool {
-	if j.Zone != "" || j.EarlierLeaders > 0 || j.started || !j.suspendedAt.IsZero() || len(j.waiting) == 0 {
+// redirectable reports whether j may be redirected: it was not redirected before, this leader
+// has issued no start command for it, and no run that another one may have started is running
+// any more.
+func (d *dispatcher) redirectable(now time.Time, j *activeJob) bool {
+	earlierRuns := j.EarlierLeaders > 0 && (j.EarlierRunsEndBy.IsZero() || now.Before(j.EarlierRunsEndBy))
+	if j.Zone != "" || earlierRuns || j.started || !j.suspendedAt.IsZero() || len(j.waiting) == 0 {
 		return false
 	}
 	for s, tasks := range j.steps {
@@ -170,7 +172,7 @@
 // redirectRefused redirects a job that would otherwise be refused, and reports whether
 // another zone can serve it.
 func (d *dispatcher) redirectRefused(now time.Time, j *activeJob) bool {
-	if len(d.loads.zones) == 0 || d.otherLeaders(now) == 0 || !d.redirectable(j) {
+	if len(d.loads.zones) == 0 || d.otherLeaders(now) == 0 || !d.redirectable(now, j) {
 		return false
 	}
 	_, needs := j.waitingWork()
