--- a/peer/succession_test.go
+++ b/peer/succession_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
