--- a/dispatch/load_model_test.go
+++ b/dispatch/load_model_test.go
@@ -310,34 +310,38 @@
 // modelFlood is the length of a flood of the load model.
 const modelFlood = 10 * time.Second
 
-// TestLoadModelReport prints what the callers of each kind get during floods of each kind
-// and of all, and in the seconds after them. It is the source of the table in
+// BenchmarkLoadModel plays floods of each kind and of all, and logs what the callers of each
+// kind get during them and in the seconds after. It is the source of the table in
 // docs/design/load-shedding.md.
-func TestLoadModelReport(t *testing.T) {
-	if !testing.Verbose() {
-		t.Skip("prints a table with -v")
-	}
-	t.Log("flood | kind | jobs | in time | worth | served | large | largest | refused | median ms | latest/objective")
-	for _, f := range modelFloods {
-		var during, after [3][]*modelJob
-		busy := 0.0
-		for seed := range uint64(4) {
-			m := newLoadModel(seed)
-			m.run(3 * time.Second)
-			begin := m.now
-			m.busy = 0
-			m.flood(modelFlood, f.rates)
-			busy += m.busy.Seconds() / modelFlood.Seconds() / (2 * modelWorkers) / 4
-			end := m.now
-			m.run(6 * time.Second)
-			for kind := range modelKinds {
-				during[kind] = append(during[kind], m.arrived(kind, begin, end)...)
-				after[kind] = append(after[kind], m.arrived(kind, end, end.Add(3*time.Second))...)
-			}
+func BenchmarkLoadModel(b *testing.B) {
+	for range b.N {
+		for _, f := range modelFloods {
+			logFlood(b, f.name, f.rates)
 		}
-		t.Logf("%-6s | slots used by jobs that ended in time, late, not at all: %v", f.name, slotsUsed(during))
-		for kind, k := range modelKinds {
-			t.Logf("%-6s | %s | %v | after: %v | busy %.2f", f.name, k.route, resultsOf(during[kind]), resultsOf(after[kind]), busy)
+	}
+}
+
+// logFlood plays a flood with several seeds and logs its results.
+func logFlood(b *testing.B, name string, rates [3]float64) {
+	var during, after [3][]*modelJob
+	busy := 0.0
+	for seed := range uint64(4) {
+		m := newLoadModel(seed)
+		m.run(3 * time.Second)
+		begin := m.now
+		m.busy = 0
+		m.flood(modelFlood, rates)
+		busy += m.busy.Seconds() / modelFlood.Seconds() / (2 * modelWorkers) / 4
+		end := m.now
+		m.run(6 * time.Second)
+		for kind := range modelKinds {
+			during[kind] = append(during[kind], m.arrived(kind, begin, end)...)
+			after[kind] = append(after[kind], m.arrived(kind, end, end.Add(3*time.Second))...)
 		}
 	}
+	b.Logf("%-6s | slots used by jobs that ended in time, late, not at all: %v", name, slotsUsed(during))
+	b.Log("flood | kind | jobs | in time | worth | served | large | largest | refused | median ms | latest/objective")
+	for kind, k := range modelKinds {
+		b.Logf("%-6s | %s | %v | after: %v | busy %.2f", name, k.route, resultsOf(during[kind]), resultsOf(after[kind]), busy)
+	}
 }
