--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -99,7 +99,7 @@
 	j.late = now.Add(d.minChainTime(j)).After(j.objective)
 	d.demand.add(now, j)
 	capacity := d.overloadedPools(now)[j.Pool]
-	j.scarce, j.crowdedOut = d.scarceFor(j, capacity), d.crowdsOut(j, capacity)
+	j.scarce, j.displaced = d.scarceFor(j, capacity), d.isDisplaced(j, capacity)
 	d.adoptRuns(now, j)
 	return j
 }
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -16,8 +16,8 @@
 	// that have not arrived yet count, too: a shorter queue may run dry, and capacity then
 	// goes to less urgent jobs or to none.
 	minForecastWait = 20 * time.Millisecond
-	// overloadMemory is the age of a plan up to which its view of the load applies.
-	overloadMemory = 50 * time.Millisecond
+	// maxPlanAge is the age of a plan up to which its view of the load applies.
+	maxPlanAge = 50 * time.Millisecond
 	// silentWorkerTime is the time after which a plan expects a worker back that has not
 	// answered or that is excluded.
 	silentWorkerTime = 100 * time.Millisecond
@@ -81,7 +81,7 @@
 	d.plannedAt = now
 	pools := d.planPools(now)
 	d.findOverload(now, pools)
-	d.favorRoutes(now, pools)
+	d.assignMinShares(now, pools)
 	d.queue.sort()
 	for _, j := range append([]*activeJob(nil), d.queue.jobs...) {
 		pool := pools[j.Pool]
@@ -89,7 +89,7 @@
 			continue
 		}
 		if !d.planJob(now, pool, j) {
-			d.giveUp(now, j, j.hopelessReason())
+			d.giveUp(now, j, j.refusalReason())
 		}
 		j.planned = true
 	}
@@ -137,14 +137,14 @@
 // overloadedPools returns the capacity of those pools that were overloaded in a recent plan,
 // in thousandths of a core.
 func (d *dispatcher) overloadedPools(now time.Time) map[string]int {
-	if now.Sub(d.plannedAt) > overloadMemory {
+	if now.Sub(d.plannedAt) > maxPlanAge {
 		return nil
 	}
 	return d.overloaded
 }
 
-// hopelessReason returns the reason of the refusal of a job that cannot end in time.
-func (j *activeJob) hopelessReason() string {
+// refusalReason returns the reason of the refusal of a job that cannot end in time.
+func (j *activeJob) refusalReason() string {
 	if j.planned {
 		return "displaced"
 	}
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -53,8 +53,8 @@
 	is.Equal(d.workers["slow"].speed, 0.5)
 	is.Equal(d.workers["fast"].speed, 1.0)
 	is.Equal(d.workers["other"].speed, 2.0)
-	for range unprovenRuns {
-		is.Equal(d.workers["slow"].speedWeight(0.5), 0.5*unprovenWeightFactor)
+	for range uncertainSpeedRuns {
+		is.Equal(d.workers["slow"].speedWeight(0.5), 0.5*uncertainSpeedFactor)
 	}
 	is.Equal(d.workers["slow"].speedWeight(0.5), 0.5)
 	is.Equal(d.workers["other"].speedWeight(0.5), 0.5)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -84,9 +84,9 @@
 	// runConfirmation is the time for which a run may continue after its receiver was
 	// last known to wait for it.
 	runConfirmation time.Duration
-	// onForgotten is called with a worker that was removed.
-	onForgotten func(w Worker)
-	pollCount   uint64
+	// onRemoved is called with a worker that was removed.
+	onRemoved func(w Worker)
+	pollCount uint64
 	// loads are the loads of the other zones, and foreign the receivers whose jobs were
 	// redirected to this leader.
 	loads   receivedLoads
@@ -103,9 +103,9 @@
 	// have not answered yet.
 	typicalAnswers answerTimes
 	hedgeBudget    hedgeBudget
-	// lastTick is when tick was last called, and doubtsFrom the time from which answers
+	// lastTick is when tick was last called, and overdueFrom the time from which answers
 	// may be taken for overdue.
-	lastTick, doubtsFrom time.Time
+	lastTick, overdueFrom time.Time
 	// restartPollNext is the index in led from which on pollForRestarts looks for workers.
 	restartPollNext int
 	// unfenced is set if workers accept commands of any term.
@@ -251,7 +251,7 @@
 	if w == nil {
 		w = newWorker(entry)
 		w.shard = d.shardOf(entry.Zone, entry.ID)
-		d.recall(w)
+		d.restoreFormer(w)
 		d.workers[entry.ID] = w
 		i, _ := slices.BinarySearchFunc(d.sortedWorkers, w, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		d.sortedWorkers = slices.Insert(d.sortedWorkers, i, w)
@@ -282,19 +282,19 @@
 	}
 }
 
-// forgetWorker removes a worker, of a zone that this instance leads, that was missing for
+// removeWorker removes a worker, of a zone that this instance leads, that was missing for
 // missingWorkerTimeout while it could be polled, once nothing can run on it and no start command
 // of before is expected to arrive there.
-func (d *dispatcher) forgetWorker(now time.Time, w *worker) {
+func (d *dispatcher) removeWorker(now time.Time, w *worker) {
 	if _, led := d.terms[w.shard]; !led || w.missingSince.IsZero() {
 		return
 	}
 	if now.Sub(later(w.missingSince, d.takenOver[w.shard])) < missingWorkerTimeout || len(w.runs) > 0 || w.mayRestart(now) {
 		return
 	}
-	d.remember(now, w)
+	d.recordFormer(now, w)
 	d.dropWorker(w.ID)
-	d.onForgotten(w.Worker)
+	d.onRemoved(w.Worker)
 }
 
 // dropWorker removes a worker on which no run is known.
--- a/dispatch/drained_zones.go
+++ b/dispatch/drained_zones.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// unprovenRuns is the number of run times after which the speed of a worker of a
-	// zone that was drained counts as known again, and unprovenWeightFactor the factor
+	// uncertainSpeedRuns is the number of run times after which the speed of a worker of a
+	// zone that was drained counts as known again, and uncertainSpeedFactor the factor
 	// of the weight of these run times in its speed.
-	unprovenRuns         = 4
-	unprovenWeightFactor = 3
+	uncertainSpeedRuns   = 4
+	uncertainSpeedFactor = 3
 )
 
 // reasonDrained is the reason for which a job is refused whose pool has workers in
@@ -125,7 +125,7 @@
 	for _, w := range d.sortedWorkers {
 		if w.Zone == zone {
 			w.speed = min(math.Sqrt(w.speed), 1)
-			w.unproven = unprovenRuns
+			w.uncertainSpeed = uncertainSpeedRuns
 		}
 	}
 }
@@ -133,11 +133,11 @@
 // speedWeight returns the weight in w's speed of a new run time that has the given weight
 // in the speed of a worker whose speed is known, and counts the run time.
 func (w *worker) speedWeight(weight float64) float64 {
-	if w.unproven == 0 {
+	if w.uncertainSpeed == 0 {
 		return weight
 	}
-	w.unproven--
-	return weight * unprovenWeightFactor
+	w.uncertainSpeed--
+	return weight * uncertainSpeedFactor
 }
 
 // available reports whether w may be assigned a task at now.
--- a/dispatch/exchange_redirects.go
+++ b/dispatch/exchange_redirects.go
@@ -31,7 +31,7 @@
 	for _, id := range env.Withdrawn {
 		i.dispatcher.withdraw(now, from, id)
 	}
-	for _, addr := range i.dispatcher.foreign.greet() {
+	for _, addr := range i.dispatcher.foreign.takeNew() {
 		i.sendHeartbeat(addr, i.leadership.Heartbeat(now))
 	}
 }
--- a/dispatch/foreign_receivers.go
+++ b/dispatch/foreign_receivers.go
@@ -16,8 +16,8 @@
 type foreignReceiver struct {
 	// forwardedAt is when it last forwarded a job, and activeAt when it last had one here.
 	forwardedAt, activeAt time.Time
-	// greeted is set once a heartbeat was sent to it.
-	greeted bool
+	// notified is set once a heartbeat was sent to it.
+	notified bool
 }
 
 // foreignReceivers are the receivers of other zones whose redirected jobs a leader has. The
@@ -42,13 +42,13 @@
 	return time.Time{}
 }
 
-// greet returns the receivers that are new since the last call, in order. The first heartbeat
+// takeNew returns the receivers that are new since the last call, in order. The first heartbeat
 // is sent to them at once: no task is started before they have confirmed their jobs.
-func (f foreignReceivers) greet() []netip.AddrPort {
+func (f foreignReceivers) takeNew() []netip.AddrPort {
 	var fresh []netip.AddrPort
 	for addr, r := range f {
-		if !r.greeted {
-			r.greeted = true
+		if !r.notified {
+			r.notified = true
 			fresh = append(fresh, addr)
 		}
 	}
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -91,7 +91,7 @@
 	if cfg.RemoteRackFactor > 0 {
 		i.dispatcher.remoteRackFactor = cfg.RemoteRackFactor
 	}
-	i.dispatcher.onForgotten = func(w Worker) { i.table.remove(w.ID, w.Version) }
+	i.dispatcher.onRemoved = func(w Worker) { i.table.remove(w.ID, w.Version) }
 	return i
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -234,14 +234,14 @@
 	runTimes []time.Duration
 	// size is the class of the job by its work within its kind.
 	size sizeClass
-	// favored is set while the job gets the minimum share of its route, reserved while it
+	// getsMinShare is set while the job gets the minimum share of its route, reserved while it
 	// is one of the next to get it, and first while large jobs of its kind come first.
-	favored, reserved, first bool
+	getsMinShare, reserved, first bool
 	// scarce is set while the capacity does not suffice for all jobs of the job's urgency
 	// and the more urgent ones.
 	scarce bool
-	// crowdedOut is set while more urgent jobs need almost all capacity.
-	crowdedOut bool
+	// displaced is set while more urgent jobs need almost all capacity.
+	displaced bool
 	// demandRank is the rank of the job in the demand for its pool, and rank that
 	// in the queue when it was last sorted.
 	demandRank demandRank
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -198,7 +198,7 @@
 			// A faster worker may still end the task in time.
 			continue
 		}
-		s := score{class: speedClass(expected, runTime), unproven: w.unproven > 0, wasted: d.wasted(w, step.Needs)}
+		s := score{class: speedClass(expected, runTime), uncertainSpeed: w.uncertainSpeed > 0, wasted: d.wasted(w, step.Needs)}
 		if best == nil || s.less(bestScore) {
 			best, bestScore, bestTime = w, s, runTime
 		}
@@ -233,8 +233,8 @@
 type score struct {
 	// class is the class of the run time on the worker, on a logarithmic scale.
 	class int
-	// unproven is set if the worker's speed is not known.
-	unproven bool
+	// uncertainSpeed is set if the worker's speed is not known.
+	uncertainSpeed bool
 	// wasted is the processor capacity, in thousandths of a core, that would be left
 	// unusable.
 	wasted int
@@ -244,8 +244,8 @@
 	if s.class != other.class {
 		return s.class < other.class
 	}
-	if s.unproven != other.unproven {
-		return other.unproven
+	if s.uncertainSpeed != other.uncertainSpeed {
+		return other.uncertainSpeed
 	}
 	return s.wasted < other.wasted
 }
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -67,7 +67,7 @@
 	case d.renewalDue(now, w):
 		d.poll(now, w, 0)
 	}
-	d.settleDoubts(now, w)
+	d.pollOverdue(now, w)
 }
 
 // wait returns the time for which w may delay its answer to the next poll.
@@ -307,7 +307,7 @@
 	case runSent:
 		return
 	case runUnknown:
-		if poll.IssuedAt.Before(r.doubtAt) {
+		if poll.IssuedAt.Before(r.uncertainSince) {
 			return // the start command may have arrived after this poll
 		}
 		d.startLost(now, w)
@@ -361,7 +361,7 @@
 		if len(w.runs) > 0 {
 			d.checkRuns(now, w)
 		}
-		d.forgetWorker(now, w)
+		d.removeWorker(now, w)
 	}
 }
 
@@ -375,7 +375,7 @@
 	if !led {
 		return
 	}
-	d.giveUpHopeless(now, w)
+	d.giveUpUnsettled(now, w)
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.orphaned && r.state == runStarted && now.Sub(r.since) > orphanGracePeriod:
--- a/dispatch/preview_decision.go
+++ b/dispatch/preview_decision.go
@@ -66,7 +66,7 @@
 	c.findUnreadZones(now)
 	pools := c.planPools(now)
 	overloaded := c.overloadedPools(now)[j.Pool] > 0
-	c.favorRoutes(now, pools)
+	c.assignMinShares(now, pools)
 	c.queue.sort()
 	p := &PreviewDecision{
 		Objective: Millis(j.objective.Sub(now)), MaxWait: Millis(j.maxWaitUntil().Sub(now)), Ahead: c.previewAhead(j),
@@ -199,7 +199,7 @@
 		}
 	}
 	if !fits {
-		d.previewGivenUp(now, j, p, j.hopelessReason())
+		d.previewGivenUp(now, j, p, j.refusalReason())
 		return
 	}
 	load := d.poolLoad(now, j.Pool)
@@ -341,7 +341,7 @@
 // obstacle returns the reason why t cannot start on w now, or an empty string.
 func (d *dispatcher) obstacle(now time.Time, w *worker, t *task) string {
 	step := &t.job.Steps[t.id.Step]
-	doubt, doubtful := w.doubt(now)
+	doubt, doubtful := w.uncertainState(now)
 	switch {
 	case w.Leaving:
 		return reasonLeaving
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -62,7 +62,7 @@
 func compareJobs(a, b *activeJob) int {
 	return cmp.Or(
 		compareBool(a.late, b.late),
-		compareBool(!a.favored, !b.favored),
+		compareBool(!a.getsMinShare, !b.getsMinShare),
 		cmp.Compare(a.Urgency, b.Urgency),
 		compareBool(a.foreign, b.foreign),
 		compareBool(!a.started, !b.started),
--- a/dispatch/redirect.go
+++ b/dispatch/redirect.go
@@ -86,9 +86,9 @@
 
 // redirectDecision decides which jobs of one pool a leader redirects.
 type redirectDecision struct {
-	// home is the zone of this leader, and homeless is set if it has no usable worker.
-	home     string
-	homeless bool
+	// home is the zone of this leader, and withoutWorkers is set if it has no usable worker.
+	home           string
+	withoutWorkers bool
 	// homeWait is the expected wait at the end of this leader's queue.
 	homeWait time.Duration
 	// offers are those of the other zones, in the order of their names. The decision
@@ -112,11 +112,11 @@
 // chooseZone returns the zone to which a job is redirected, and whether it is redirected.
 func (r *redirectDecision) chooseZone(job *redirectCandidate) (redirectChoice, bool) {
 	pick := r.earliest
-	if r.homeless {
+	if r.withoutWorkers {
 		pick = r.leastUsed
 	}
 	offer, reason := pick(job)
-	if offer == nil && !r.homeless {
+	if offer == nil && !r.withoutWorkers {
 		offer, reason = r.shortestQueue(job), shorterQueue
 	}
 	if offer == nil {
--- a/dispatch/redirect_test.go
+++ b/dispatch/redirect_test.go
@@ -120,7 +120,7 @@
 	for n := range 100 {
 		jobs = append(jobs, waitingJob(string(rune('0'+n)), -1))
 	}
-	r := redirectDecision{home: "a", homeless: true, offers: []redirectOffer{
+	r := redirectDecision{home: "a", withoutWorkers: true, offers: []redirectOffer{
 		{zone: "b", capacity: 90_000}, {zone: "c", capacity: 30_000, budget: 50_000}, {zone: "d"},
 	}}
 	counts := make(map[string]int)
@@ -129,7 +129,7 @@
 	}
 	is.Equal(counts, map[string]int{"b": 75, "c": 25})
 
-	drained := redirectDecision{home: "a", homeless: true, offers: []redirectOffer{{zone: "b"}, {zone: "c"}}}
+	drained := redirectDecision{home: "a", withoutWorkers: true, offers: []redirectOffer{{zone: "b"}, {zone: "c"}}}
 	is.Equal(len(drained.choose(jobs)), 0) // no other zone has capacity
 }
 
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -84,8 +84,8 @@
 		_, led := d.terms[o.zone]
 		return led
 	})
-	homeless := load.capacity == 0 && (d.settled(now) || d.drainedPools(now)[pool])
-	return redirectDecision{home: d.ledZones()[0], homeless: homeless, homeWait: load.wait(maxUrgency), offers: offers}
+	withoutWorkers := load.capacity == 0 && (d.settled(now) || d.drainedPools(now)[pool])
+	return redirectDecision{home: d.ledZones()[0], withoutWorkers: withoutWorkers, homeWait: load.wait(maxUrgency), offers: offers}
 }
 
 // redirectCandidates returns the jobs of a pool that may be redirected, in the order of the
--- a/dispatch/run_times.go
+++ b/dispatch/run_times.go
@@ -50,7 +50,7 @@
 // w, took by the worker's clock. It returns false if that isn't known: r was adopted, its end
 // may have been reported late, or its start command has no answer and is in doubt.
 func (w *worker) measuredRunTime(r *run) (time.Duration, bool) {
-	if r.adopted || (r.answerClock == 0 && (r.mayStartLate || !r.doubtAt.IsZero())) {
+	if r.adopted || (r.answerClock == 0 && (r.mayStartLate || !r.uncertainSince.IsZero())) {
 		return 0, false
 	}
 	runTime := w.elapsed(r)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -229,7 +229,7 @@
 	}
 	d.effects.decide("start-outcome-unknown", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
 	r.mayStartLate = true
-	d.doubt(now, w, r)
+	d.markUncertain(now, w, r)
 	if r.state == runUnknown {
 		d.pollNow(now, w)
 	}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -6,18 +6,18 @@
 	// minRouteShare is the share of a pool's capacity that each route may use under
 	// overload before more urgent routes, so that none is starved.
 	minRouteShare = 0.05
-	// crowdedOutDemand is the share of the capacity from which on more urgent jobs leave
+	// displacedDemand is the share of the capacity from which on more urgent jobs leave
 	// only a minimum share to a route.
-	crowdedOutDemand = 0.9
+	displacedDemand = 0.9
 	// overloadReserve is the share of the capacity of an overloaded pool that stays free
 	// for jobs that can end in time: other jobs use only what is free beyond it.
 	overloadReserve = 0.2
 )
 
-// favorRoutes marks, in each pool, the first queued jobs of those routes that use less than
+// assignMinShares marks, in each pool, the first queued jobs of those routes that use less than
 // their minimum share. The most urgent jobs need no share. A route's next jobs, for another
 // such share, are reserved: they are not refused because of more urgent ones.
-func (d *dispatcher) favorRoutes(now time.Time, pools map[string]*poolPlan) {
+func (d *dispatcher) assignMinShares(now time.Time, pools map[string]*poolPlan) {
 	for _, j := range d.queue.jobs {
 		if p := pools[j.Pool]; p != nil && (!p.queued || j.Urgency < p.mostUrgent) {
 			p.mostUrgent, p.queued = j.Urgency, true
@@ -31,12 +31,12 @@
 		share := minRouteShare * float64(p.capacity)
 		used := float64(p.inUse[j.Route])
 		lessUrgent := j.Urgency > p.mostUrgent && !j.late
-		favored := lessUrgent && ((j.favored && j.started) || (used < j.shareLimit(share) && j.likelyInTime(now)))
-		j.crowdedOut = d.crowdsOut(j, p.capacity)
+		getsMinShare := lessUrgent && ((j.getsMinShare && j.started) || (used < j.shareLimit(share) && j.likelyInTime(now)))
+		j.displaced = d.isDisplaced(j, p.capacity)
 		j.reserved = lessUrgent && used < 2*share && j.likelyInTime(now)
 		first, scarce := d.sizes.behind(j), d.scarceFor(j, p.capacity)
-		if favored != j.favored || first != j.first || scarce != j.scarce {
-			j.favored, j.first, j.scarce = favored, first, scarce
+		if getsMinShare != j.getsMinShare || first != j.first || scarce != j.scarce {
+			j.getsMinShare, j.first, j.scarce = getsMinShare, first, scarce
 			d.queue.stale = true
 		}
 		if lessUrgent {
@@ -59,10 +59,10 @@
 	return capacity > 0 && d.demand.before(j, j.Urgency+1)/demandTime.Seconds() >= overloadDemand*float64(capacity)/1000
 }
 
-// crowdsOut reports whether jobs that are more urgent than j need almost all of a pool's
+// isDisplaced reports whether jobs that are more urgent than j need almost all of a pool's
 // capacity, in thousandths of a core.
-func (d *dispatcher) crowdsOut(j *activeJob, capacity int) bool {
-	return capacity > 0 && d.demand.before(j, j.Urgency)/demandTime.Seconds() >= crowdedOutDemand*float64(capacity)/1000
+func (d *dispatcher) isDisplaced(j *activeJob, capacity int) bool {
+	return capacity > 0 && d.demand.before(j, j.Urgency)/demandTime.Seconds() >= displacedDemand*float64(capacity)/1000
 }
 
 // shareLimit returns the use of capacity by the route of j up to which j is started for the
@@ -84,10 +84,10 @@
 // unless its tasks leave free capacity beside them. Otherwise it would take what the next jobs
 // that can end in time need, or would be started in part and end late.
 func (d *dispatcher) blockedByOverload(j *activeJob) bool {
-	if j.started || j.favored {
+	if j.started || j.getsMinShare {
 		return false
 	}
-	return (j.late || j.crowdedOut) && !d.leavesReserve(j)
+	return (j.late || j.displaced) && !d.leavesReserve(j)
 }
 
 // leavesReserve reports whether the open workers have free processors for all waiting tasks of
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -42,8 +42,8 @@
 	return l
 }
 
-// remember records w, which is removed, if the token of commands to it is raised.
-func (d *dispatcher) remember(now time.Time, w *worker) {
+// recordFormer records w, which is removed, if the token of commands to it is raised.
+func (d *dispatcher) recordFormer(now time.Time, w *worker) {
 	for id, f := range d.former {
 		if now.Sub(f.removedAt) > lateStartRetention {
 			delete(d.former, id)
@@ -55,8 +55,8 @@
 	}
 }
 
-// recall applies what is remembered of an earlier worker with the ID of w.
-func (d *dispatcher) recall(w *worker) {
+// restoreFormer applies what is remembered of an earlier worker with the ID of w.
+func (d *dispatcher) restoreFormer(w *worker) {
 	f, ok := d.former[w.ID]
 	if !ok {
 		return
@@ -94,7 +94,7 @@
 // zone any more.
 func freshWorker(w *worker) *worker {
 	fresh := newWorker(w.Worker)
-	fresh.shard, fresh.speed, fresh.unproven = w.shard, w.speed, w.unproven
+	fresh.shard, fresh.speed, fresh.uncertainSpeed = w.shard, w.speed, w.uncertainSpeed
 	fresh.token, fresh.lateStart = w.token, w.latestStart()
 	if fresh.lateStart.token > 0 {
 		fresh.incarnation = w.incarnation
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -67,27 +67,27 @@
 	return o != OutcomeUnknown && o != OtherIncarnation && o != NotSent
 }
 
-// doubt records that the start command of r has no answer although it should have one.
-func (d *dispatcher) doubt(now time.Time, w *worker, r *run) {
+// markUncertain records that the start command of r has no answer although it should have one.
+func (d *dispatcher) markUncertain(now time.Time, w *worker, r *run) {
 	w.suspect(r.since)
 	if r.state != runSent {
 		return
 	}
 	r.state = runUnknown
 	r.mayStartLate = true
-	r.doubtAt = now
+	r.uncertainSince = now
 	d.effects.routine("run-in-doubt", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
 		"after", now.Sub(r.since))
 }
 
 // runSettled records what has become of r, if it was in doubt.
 func (d *dispatcher) runSettled(now time.Time, w *worker, r *run, as string) {
-	if r.doubtAt.IsZero() {
+	if r.uncertainSince.IsZero() {
 		return
 	}
 	d.effects.routine("run-settled", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number,
-		"as", as, "after", now.Sub(r.doubtAt))
-	r.doubtAt = time.Time{}
+		"as", as, "after", now.Sub(r.uncertainSince))
+	r.uncertainSince = time.Time{}
 }
 
 // startConfirmed records that w has carried out the start command of r.
@@ -163,15 +163,15 @@
 // are handled before any is taken for overdue.
 func (d *dispatcher) noteTick(now time.Time) {
 	if !d.lastTick.IsZero() && now.Sub(d.lastTick) > maxTickGap {
-		d.doubtsFrom = now.Add(minHedgeDelay)
+		d.overdueFrom = now.Add(minHedgeDelay)
 	}
 	d.lastTick = now
 }
 
-// settleDoubts polls w at once, beside an outstanding poll, if an answer or the end of a run
+// pollOverdue polls w at once, beside an outstanding poll, if an answer or the end of a run
 // is overdue.
-func (d *dispatcher) settleDoubts(now time.Time, w *worker) {
-	overdue := !now.Before(d.doubtsFrom) && d.findOverdue(now, w)
+func (d *dispatcher) pollOverdue(now time.Time, w *worker) {
+	overdue := !now.Before(d.overdueFrom) && d.findOverdue(now, w)
 	switch {
 	case w.sidePollDue:
 	case !overdue || w.hedges >= maxHedges || w.missedPolls > 1:
@@ -205,7 +205,7 @@
 	}
 	sortRuns(unanswered)
 	for _, r := range unanswered {
-		d.doubt(now, w, r)
+		d.markUncertain(now, w, r)
 		overdue = true
 	}
 	return overdue
@@ -263,10 +263,10 @@
 	return w.clockAt.Add(time.Duration(float64(left) / (1 - maxClockDrift)))
 }
 
-// giveUpHopeless gives up the jobs that wait for a run on w which cannot be settled in time:
+// giveUpUnsettled gives up the jobs that wait for a run on w which cannot be settled in time:
 // w is silent, and another run could only start once the lease has expired, too late for the
 // job to be worth anything.
-func (d *dispatcher) giveUpHopeless(now time.Time, w *worker) {
+func (d *dispatcher) giveUpUnsettled(now time.Time, w *worker) {
 	if !w.unresponsive || w.hedges < silentHedges || w.clockAt.IsZero() || now.Sub(w.sidePollSent) < d.overdueAfter(w) {
 		return
 	}
--- a/dispatch/unusable.go
+++ b/dispatch/unusable.go
@@ -44,18 +44,18 @@
 // InDoubt returns the processor capacity of the workers that this instance leads which it
 // does not use although it may be free, in thousandths of a core, by reason.
 func (i *Instance) InDoubt(now time.Time) [doubtReasons]int {
-	return i.dispatcher.inDoubt(now)
+	return i.dispatcher.uncertainCapacity(now)
 }
 
-func (d *dispatcher) inDoubt(now time.Time) (millicores [doubtReasons]int) {
+func (d *dispatcher) uncertainCapacity(now time.Time) (millicores [doubtReasons]int) {
 	for _, w := range d.ledWorkers() {
-		if reason, ok := w.doubt(now); ok {
+		if reason, ok := w.uncertainState(now); ok {
 			millicores[reason] += w.free().Millicores
 		}
 		limit := d.overdueAfter(w)
 		for _, r := range w.runs {
 			switch {
-			case r.state == runUnknown, !r.doubtAt.IsZero():
+			case r.state == runUnknown, !r.uncertainSince.IsZero():
 				millicores[DoubtStart] += r.needs.Millicores
 			case r.state == runStopping:
 				millicores[DoubtStop] += r.needs.Millicores
@@ -67,8 +67,8 @@
 	return millicores
 }
 
-// doubt returns the reason why no task is started on w, if it is a doubt about its state.
-func (w *worker) doubt(now time.Time) (reason DoubtReason, ok bool) {
+// uncertainState returns the reason why no task is started on w if its state is uncertain.
+func (w *worker) uncertainState(now time.Time) (reason DoubtReason, ok bool) {
 	switch {
 	case w.gone(now):
 		return 0, false
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -106,8 +106,8 @@
 	// token is the fencing token of the start command.
 	token uint64
 	state runState
-	// doubtAt is since when the outcome of the start command is in doubt, or zero.
-	doubtAt time.Time
+	// uncertainSince is since when the outcome of the start command is in doubt, or zero.
+	uncertainSince time.Time
 	// endDue is when the run should have ended, or zero if it is not known to run.
 	endDue time.Time
 	// since is when the run was started or found.
@@ -201,10 +201,10 @@
 	latestReport uint64
 	// excludedUntil is the time from which the worker may be assigned tasks again.
 	excludedUntil time.Time
-	// speed is relative to the median worker, and unproven the number of further run
+	// speed is relative to the median worker, and uncertainSpeed the number of further run
 	// times after which it counts as known.
-	speed    float64
-	unproven int
+	speed          float64
+	uncertainSpeed int
 	// missingSince is when the worker disappeared from the worker table, or zero.
 	missingSince time.Time
 	// failuresInRow counts the failures since the last success.
