--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -225,8 +225,8 @@
 
 // drain shuts down within the grace period: it gives up leadership, waits until the load
 // balancer has noticed that the instance is not ready, and then for open jobs. From then on
-// it refuses new jobs whose callers wait for longer than the grace period. It aborts the jobs that are still open graceMargin before the end, so
-// that their callers get an answer.
+// it refuses new jobs whose callers wait for longer than the grace period. It aborts the jobs
+// that are still open graceMargin before the end, so that their callers get an answer.
 func (s *service) drain(callers *http.Server) {
 	_ = s.logger.Log("event", "leaving")
 	s.closing.Store(true)
--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -95,7 +95,7 @@
 	j.chainTime = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
 	j.size = d.sizes.classify(j)
-	j.first = d.sizes.behind(j)
+	j.largeFirst = d.sizes.underserved(j)
 	j.late = now.Add(d.minChainTime(j)).After(j.objective)
 	d.demand.add(now, j)
 	capacity := d.overloadedPools(now)[j.Pool]
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -53,7 +53,12 @@
 			ahead += work
 		}
 	}
-	return time.Duration(ahead / (float64(l.capacity) / 1000) * float64(time.Second))
+	return l.timeFor(ahead)
+}
+
+// timeFor returns the time in which the workers do the given work in core-seconds.
+func (l poolLoad) timeFor(work float64) time.Duration {
+	return time.Duration(work / (float64(l.capacity) / 1000) * float64(time.Second))
 }
 
 // waitingWork returns the expected processor time of the waiting tasks of j in core-seconds,
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -35,7 +35,7 @@
 	}
 	size := 0
 	switch {
-	case j.first:
+	case j.largeFirst:
 		size = math.MinInt
 	case j.work > 0:
 		size = int(math.Floor(math.Log2(j.work) * ranksPerDoubling))
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -104,7 +104,7 @@
 	typicalAnswers answerTimes
 	hedgeBudget    hedgeBudget
 	// lastTick is when tick was last called, and overdueFrom the time from which answers
-	// may be taken for overdue.
+	// may count as overdue.
 	lastTick, overdueFrom time.Time
 	// restartPollNext is the index in led from which on pollForRestarts looks for workers.
 	restartPollNext int
--- a/dispatch/even_waits.go
+++ b/dispatch/even_waits.go
@@ -6,13 +6,13 @@
 // which the job is expected to start clearly earlier.
 const shorterQueue = "shorter-queue"
 
-// A zone with the most demand would otherwise refuse more jobs than the others while all are
-// overloaded: no other zone has free capacity.
-
 // queueBudget returns the work, in core-seconds, that may be redirected into the queue of a
-// zone with the given capacity, in thousandths of a core, by each of the leaders in need:
+// zone with the given capacity, in thousandths of a core, by each of the leaders that need capacity:
 // together they even out the waits at most. The argument sent is the work that this leader
 // has redirected to the zone since its load.
+//
+// Without such redirects the zone with the most demand would refuse more jobs than the others
+// while all zones are overloaded, because none of them has free capacity.
 func queueBudget(homeWait, otherWait time.Duration, capacity, leaders int, sent float64) float64 {
 	if otherWait < 0 || homeWait <= otherWait {
 		return 0
--- a/dispatch/foreign_receivers.go
+++ b/dispatch/foreign_receivers.go
@@ -9,14 +9,14 @@
 
 // foreignReceiverRetention is the time for which a receiver of another zone gets heartbeats
 // after its last job here has ended. The withdrawals that it repeats arrive meanwhile, and
-// its next redirected job needs no new acquaintance.
+// its next redirected job needs no first heartbeat.
 const foreignReceiverRetention = 2 * time.Second
 
 // foreignReceiver is a receiver of jobs that were redirected to this leader.
 type foreignReceiver struct {
 	// forwardedAt is when it last forwarded a job, and activeAt when it last had one here.
 	forwardedAt, activeAt time.Time
-	// notified is set once a heartbeat was sent to it.
+	// notified is set once takeNew has returned it, so that a heartbeat is sent to it.
 	notified bool
 }
 
@@ -56,7 +56,7 @@
 	return fresh
 }
 
-// update forgets the receivers without jobs for foreignReceiverRetention.
+// update removes the receivers that have had no job for foreignReceiverRetention.
 func (f foreignReceivers) update(now time.Time, jobs map[string]*activeJob) {
 	if len(f) == 0 {
 		return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -235,8 +235,9 @@
 	// size is the class of the job by its work within its kind.
 	size sizeClass
 	// getsMinShare is set while the job gets the minimum share of its route, reserved while it
-	// is one of the next to get it, and first while large jobs of its kind come first.
-	getsMinShare, reserved, first bool
+	// is one of the next to get it, and largeFirst while large jobs of its kind come first and
+	// it is one of them.
+	getsMinShare, reserved, largeFirst bool
 	// scarce is set while the capacity does not suffice for all jobs of the job's urgency
 	// and the more urgent ones.
 	scarce bool
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -29,8 +29,8 @@
 	wait                    time.Duration
 }
 
-// inNeed reports whether the zone's leader may use the free capacity of other zones.
-func (r poolRoom) inNeed() bool { return r.free == 0 || r.waiting > 0 }
+// needsCapacity reports whether the zone's leader may use the free capacity of other zones.
+func (r poolRoom) needsCapacity() bool { return r.free == 0 || r.waiting > 0 }
 
 // receivedLoad is the last load that the leader of a zone has sent.
 type receivedLoad struct {
@@ -115,16 +115,16 @@
 	return millicores, work
 }
 
-// leadersInNeed returns the number of leaders that share the free capacity of zone: this one,
+// leadersNeedingCapacity returns the number of leaders that share the free capacity of zone: this one,
 // and those of the others that need capacity or have sent no recent load. The argument others
 // is the number of all other leaders.
-func (l *receivedLoads) leadersInNeed(now time.Time, zone, pool string, others int) int {
+func (l *receivedLoads) leadersNeedingCapacity(now time.Time, zone, pool string, others int) int {
 	n := max(others, 1)
 	for other := range l.zones {
 		if other == zone || now.Sub(l.zones[other].at) > maxLoadAge {
 			continue
 		}
-		if room, _, _ := l.room(now, other, pool); !room.inNeed() {
+		if room, _, _ := l.room(now, other, pool); !room.needsCapacity() {
 			n--
 		}
 	}
@@ -142,7 +142,7 @@
 			continue
 		}
 		sent, work := l.unseenBy(now, now.Add(-age-unseenTime), zone, pool)
-		leaders := l.leadersInNeed(now, zone, pool, others)
+		leaders := l.leadersNeedingCapacity(now, zone, pool, others)
 		budget := 0.0
 		if l.mayUseQueues(now, pool) {
 			budget = queueBudget(homeWait, room.wait, room.capacity, leaders, work)
@@ -173,24 +173,28 @@
 	return load
 }
 
-// offered returns the capacity that other leaders may use. A zone that redirects jobs offers
-// none: otherwise two zones could redirect jobs to each other. A new leader offers none
-// either, because it cannot start tasks on all workers yet.
-func (d *dispatcher) offered(now time.Time, pool string, own poolLoad) int {
-	if !d.settled(now) {
-		return 0
-	}
+// acceptsRedirects reports whether other leaders may redirect jobs of a pool here. A zone that
+// redirects jobs accepts none: otherwise two zones could redirect jobs to each other. A new
+// leader accepts none either, because it cannot start tasks on all workers yet.
+func (d *dispatcher) acceptsRedirects(now time.Time, pool string) bool {
 	if d.loads.redirectedSince(now.Add(-maxLoadAge), "", pool) > 0 {
+		return false
+	}
+	return d.settled(now)
+}
+
+// offered returns the capacity that other leaders may use.
+func (d *dispatcher) offered(now time.Time, pool string, own poolLoad) int {
+	if !d.acceptsRedirects(now, pool) {
 		return 0
 	}
 	return max(0, own.free-own.waiting)
 }
 
 // offeredWait returns the expected wait behind all queued jobs, for the leaders of other
-// zones. It is negative, so that none uses the queue, under the conditions under which the
-// zone offers no free capacity.
+// zones. It is negative, so that none uses the queue, if the zone accepts no redirected jobs.
 func (d *dispatcher) offeredWait(now time.Time, pool string, own poolLoad) time.Duration {
-	if !d.settled(now) || d.loads.redirectedSince(now.Add(-maxLoadAge), "", pool) > 0 {
+	if !d.acceptsRedirects(now, pool) {
 		return -1
 	}
 	return own.wait(maxUrgency)
--- a/dispatch/preview_decision.go
+++ b/dispatch/preview_decision.go
@@ -13,7 +13,7 @@
 const maxPreviewWorkers = 5
 
 // The reasons for which a previewed job waits or a worker gets no task, beside those of
-// refusals, redirects and doubts.
+// refusals, redirects and uncertain states (DoubtReason).
 const (
 	reasonBusy       = "busy"
 	reasonTooSlow    = "too-slow"
@@ -341,7 +341,7 @@
 // obstacle returns the reason why t cannot start on w now, or an empty string.
 func (d *dispatcher) obstacle(now time.Time, w *worker, t *task) string {
 	step := &t.job.Steps[t.id.Step]
-	doubt, doubtful := w.uncertainState(now)
+	reason, uncertain := w.uncertainState(now)
 	switch {
 	case w.Leaving:
 		return reasonLeaving
@@ -351,8 +351,8 @@
 		return reasonDrained
 	case d.unreadZones[w.shard]:
 		return reasonUnread
-	case doubtful:
-		return doubt.String()
+	case uncertain:
+		return reason.String()
 	case !w.free().fits(step.Needs):
 		return reasonBusy
 	case !w.eligible(step, t):
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -66,7 +66,7 @@
 		cmp.Compare(a.Urgency, b.Urgency),
 		compareBool(a.foreign, b.foreign),
 		compareBool(!a.started, !b.started),
-		compareBool(!a.first, !b.first),
+		compareBool(!a.largeFirst, !b.largeFirst),
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.ID, b.ID),
 	)
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -108,7 +108,7 @@
 		case needed <= load.free:
 			wait = 0
 		case load.capacity > 0:
-			wait = time.Duration(ahead / (float64(load.capacity) / 1000) * float64(time.Second))
+			wait = load.timeFor(ahead)
 		}
 		candidates = append(candidates, d.redirectCandidate(now, j, needs, wait))
 	}
--- a/dispatch/run_times.go
+++ b/dispatch/run_times.go
@@ -4,8 +4,8 @@
 
 // clockBound bounds when a worker's clock showed 0, on the leader's clock, by the times at
 // which commands were issued: a clock in an answer was read after its command was issued.
-// When the answer was handled doesn't matter, so that a leader that is late learns no
-// run times that contain its own delays.
+// When the answer was handled doesn't matter, so that the run times measured by a leader
+// that is late don't contain its own delays.
 type clockBound struct {
 	// zero is the latest known lower bound, and notedAt when its command was issued.
 	zero, notedAt time.Time
@@ -48,7 +48,8 @@
 
 // measuredRunTime returns the time that r, an end of which was listed in the latest report of
 // w, took by the worker's clock. It returns false if that isn't known: r was adopted, its end
-// may have been reported late, or its start command has no answer and is in doubt.
+// may have been reported late, or its start command has no answer and its outcome is
+// uncertain.
 func (w *worker) measuredRunTime(r *run) (time.Duration, bool) {
 	if r.adopted || (r.answerClock == 0 && (r.mayStartLate || !r.uncertainSince.IsZero())) {
 		return 0, false
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -4,7 +4,7 @@
 
 const (
 	// minRouteShare is the share of a pool's capacity that each route may use under
-	// overload before more urgent routes, so that none is starved.
+	// overload before more urgent routes, so that each gets some capacity.
 	minRouteShare = 0.05
 	// displacedDemand is the share of the capacity from which on more urgent jobs leave
 	// only a minimum share to a route.
@@ -34,15 +34,14 @@
 		getsMinShare := lessUrgent && ((j.getsMinShare && j.started) || (used < j.shareLimit(share) && j.likelyInTime(now)))
 		j.displaced = d.isDisplaced(j, p.capacity)
 		j.reserved = lessUrgent && used < 2*share && j.likelyInTime(now)
-		first, scarce := d.sizes.behind(j), d.scarceFor(j, p.capacity)
-		if getsMinShare != j.getsMinShare || first != j.first || scarce != j.scarce {
-			j.getsMinShare, j.first, j.scarce = getsMinShare, first, scarce
+		largeFirst, scarce := d.sizes.underserved(j), d.scarceFor(j, p.capacity)
+		if getsMinShare != j.getsMinShare || largeFirst != j.largeFirst || scarce != j.scarce {
+			j.getsMinShare, j.largeFirst, j.scarce = getsMinShare, largeFirst, scarce
 			d.queue.stale = true
 		}
 		if lessUrgent {
-			for _, t := range j.waiting {
-				p.inUse[j.Route] += j.Steps[t.id.Step].Needs.Millicores
-			}
+			_, needs := j.waitingWork()
+			p.inUse[j.Route] += needs
 		}
 	}
 }
@@ -69,18 +68,15 @@
 // route's share: a job takes all of its resources, so that the mean use is the share. Large
 // jobs that are served too rarely are started at any use below the share.
 func (j *activeJob) shareLimit(share float64) float64 {
-	if j.first {
+	if j.largeFirst {
 		return share
 	}
-	needs := 0
-	for _, t := range j.waiting {
-		needs += j.Steps[t.id.Step].Needs.Millicores
-	}
+	_, needs := j.waitingWork()
 	return max(share-float64(needs)/2, 1)
 }
 
 // blockedByOverload reports whether j must not be started now although resources are free,
-// because its pool is overloaded: a job that is late, or one that more urgent jobs crowd out,
+// because its pool is overloaded: a job that is late, or one that more urgent jobs displace,
 // unless its tasks leave free capacity beside them. Otherwise it would take what the next jobs
 // that can end in time need, or would be started in part and end late.
 func (d *dispatcher) blockedByOverload(j *activeJob) bool {
@@ -99,8 +95,7 @@
 			free += w.free().Millicores
 		}
 	}
-	for _, t := range j.waiting {
-		free -= j.Steps[t.id.Step].Needs.Millicores
-	}
+	_, needs := j.waitingWork()
+	free -= needs
 	return float64(free) >= overloadReserve*float64(d.overloaded[j.Pool])
 }
--- a/dispatch/sizes.go
+++ b/dispatch/sizes.go
@@ -92,9 +92,9 @@
 	r.servedAll += kindWeight * (value - r.servedAll)
 }
 
-// behind reports whether the large jobs of j's class are served too rarely, so that they
+// underserved reports whether the large jobs of j's class are served too rarely, so that they
 // come before the others of their kind.
-func (s sizes) behind(j *activeJob) bool {
+func (s sizes) underserved(j *activeJob) bool {
 	r := s[j.Route]
 	return r != nil && j.size != ordinarySize && r.served[j.size] < minServedRatio*r.servedAll
 }
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -6,11 +6,11 @@
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
-// lateStartRetention is the time for which a worker that was removed is remembered, because a
+// lateStartRetention is the time for which the record of a removed worker is kept, because a
 // start command may arrive late at a worker that starts again under its ID.
 const lateStartRetention = time.Minute
 
-// formerWorker is what is remembered of a worker that was removed.
+// formerWorker is the record of a worker that was removed.
 type formerWorker struct {
 	removedAt   time.Time
 	incarnation int64
@@ -55,7 +55,7 @@
 	}
 }
 
-// restoreFormer applies what is remembered of an earlier worker with the ID of w.
+// restoreFormer applies the record of an earlier worker with the ID of w, if there is one.
 func (d *dispatcher) restoreFormer(w *worker) {
 	f, ok := d.former[w.ID]
 	if !ok {
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -80,7 +80,7 @@
 		"after", now.Sub(r.since))
 }
 
-// runSettled records what has become of r, if it was in doubt.
+// runSettled records what has become of r, if its state was uncertain.
 func (d *dispatcher) runSettled(now time.Time, w *worker, r *run, as string) {
 	if r.uncertainSince.IsZero() {
 		return
@@ -160,7 +160,7 @@
 }
 
 // noteTick records a tick. After a pause of the process, answers that have arrived meanwhile
-// are handled before any is taken for overdue.
+// are handled before any counts as overdue.
 func (d *dispatcher) noteTick(now time.Time) {
 	if !d.lastTick.IsZero() && now.Sub(d.lastTick) > maxTickGap {
 		d.overdueFrom = now.Add(minHedgeDelay)
@@ -263,7 +263,7 @@
 	return w.clockAt.Add(time.Duration(float64(left) / (1 - maxClockDrift)))
 }
 
-// giveUpUnsettled gives up the jobs that wait for a run on w which cannot be settled in time:
+// giveUpUnsettled gives up the jobs that wait for a run on w whose state stays unknown too long:
 // w is silent, and another run could only start once the lease has expired, too late for the
 // job to be worth anything.
 func (d *dispatcher) giveUpUnsettled(now time.Time, w *worker) {
--- a/dispatch/unusable.go
+++ b/dispatch/unusable.go
@@ -67,7 +67,8 @@
 	return millicores
 }
 
-// uncertainState returns the reason why no task is started on w if its state is uncertain.
+// uncertainState returns the reason why no task is started on w, if that is because its state
+// is uncertain.
 func (w *worker) uncertainState(now time.Time) (reason DoubtReason, ok bool) {
 	switch {
 	case w.gone(now):
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -106,7 +106,7 @@
 	// token is the fencing token of the start command.
 	token uint64
 	state runState
-	// uncertainSince is since when the outcome of the start command is in doubt, or zero.
+	// uncertainSince is since when the outcome of the start command is uncertain, or zero.
 	uncertainSince time.Time
 	// endDue is when the run should have ended, or zero if it is not known to run.
 	endDue time.Time
--- a/peer/shards.go
+++ b/peer/shards.go
@@ -14,9 +14,10 @@
 // MaxShards is the largest number of shards of a zone. A heartbeat has eight bits for it.
 const MaxShards = 32
 
-// emptyShardTimeout is the time for which a shard must have had no instance before an
-// instance of another shard joins it.
 const (
+	// emptyShardTimeout is the time for which a shard must have had no instance before an
+	// instance of another shard joins it, and emptyShardCheckInterval the time between two
+	// checks.
 	emptyShardTimeout       = 5 * time.Second
 	emptyShardCheckInterval = time.Second
 )
@@ -130,7 +131,7 @@
 // shards: the leader of the first shard that has a live leader. Unfenced workers are not
 // divided, because instances that know different numbers may command the same worker.
 func (l *Leadership) DecidesShards(now time.Time) bool {
-	if l.cfg.Unfenced || l.leaving || l.hearsWithoutShards(now, true) {
+	if l.cfg.Unfenced || l.leaving || l.hasPeerWithoutShards(now, true) {
 		return false
 	}
 	for _, shard := range l.shards {
@@ -141,11 +142,11 @@
 	return false
 }
 
-// hearsWithoutShards reports whether an instance is live whose version does not know shards: it
-// would take the place of the leaders of the shards of its zone. A leader says in its heartbeats
-// whether one of its followers is such an instance. Other leaders count only if leaders is set,
-// so that two of them do not refer to each other.
-func (l *Leadership) hearsWithoutShards(now time.Time, leaders bool) bool {
+// hasPeerWithoutShards reports whether an instance is live whose version does not know
+// shards: it would replace the leaders of the shards of its zone. A leader says in its
+// heartbeats whether one of its followers is such an instance. Other leaders count only if
+// leaders is set, so that two of them do not refer to each other.
+func (l *Leadership) hasPeerWithoutShards(now time.Time, leaders bool) bool {
 	for _, m := range l.members {
 		if m.withoutShards && now.Sub(m.lastSeen) < LeaderTimeout && (leaders || len(m.leads) == 0) {
 			return true
@@ -156,7 +157,7 @@
 
 // encodedSharding returns Beat.shards of a heartbeat that is sent at now.
 func (l *Leadership) encodedSharding(now time.Time) uint32 {
-	if l.sharding == (sharding{count: 1}) && l.Leading() && l.hearsWithoutShards(now, false) {
+	if l.sharding == (sharding{count: 1}) && l.Leading() && l.hasPeerWithoutShards(now, false) {
 		return 0
 	}
 	return l.sharding.encode()
