--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -283,8 +283,8 @@
 }
 
 // removeWorker removes a worker, of a zone that this instance leads, that was missing for
-// missingWorkerTimeout while it could be polled, once nothing can run on it and no start command
-// of before is expected to arrive there.
+// missingWorkerTimeout while it could be polled, once nothing can run on it and no earlier
+// start command is expected to arrive there.
 func (d *dispatcher) removeWorker(now time.Time, w *worker) {
 	if _, led := d.terms[w.shard]; !led || w.missingSince.IsZero() {
 		return
--- a/dispatch/followed_zone.go
+++ b/dispatch/followed_zone.go
@@ -33,8 +33,8 @@
 	return !z.leaderlessSince.IsZero() && now.Sub(z.leaderlessSince) > d
 }
 
-// earlierRunsEndBy returns the time by which the runs have ended that the leader had started
-// that is the former one at now.
+// earlierRunsEndBy returns the time by which the runs of the former leader have ended. If the
+// leader was not lost before now, it counts as the former one from now on.
 func (z *followedZone) earlierRunsEndBy(now time.Time) time.Time {
 	if !z.formerLastSeen.IsZero() {
 		return z.formerLastSeen.Add(earlierRunsTimeout)
@@ -167,9 +167,9 @@
 	r.forward(now, o)
 }
 
-// checkZones takes the jobs home that were redirected to a zone without a leader, after the
-// time for which this instance waits for a leader of its own zone. It ceases to follow the
-// leaders of zones without jobs.
+// checkZones returns to the home zone the jobs that were redirected to a zone without a
+// leader, after the time for which this instance waits for a leader of its own zone. It
+// ceases to follow the leaders of zones without jobs.
 func (r *receiver) checkZones(now time.Time) {
 	if len(r.zones) == 1 {
 		return
--- a/dispatch/redirect.go
+++ b/dispatch/redirect.go
@@ -126,7 +126,8 @@
 	offer.queueBudget -= job.work
 	offer.sent += job.millicores
 	return redirectChoice{
-		id: job.id, zone: offer.zone, reason: reason, millicores: job.millicores, work: job.work, run: job.runIn(offer.zone),
+		id: job.id, zone: offer.zone, reason: reason,
+		millicores: job.millicores, work: job.work, run: job.runIn(offer.zone),
 		homeWait: job.wait, otherWait: offer.wait, loadAge: offer.age,
 	}, true
 }
--- a/dispatch/shards.go
+++ b/dispatch/shards.go
@@ -156,9 +156,9 @@
 	d.led, d.pollAny = nil, true
 }
 
-// changeShard makes r look for the leader of another shard. What it last received from
-// leaders of that shard says nothing about the runs of its jobs, which the leader of the
-// former one started.
+// changeShard makes r look for the leader of another shard. When it last received something
+// from the leaders of that shard does not matter for the runs of its jobs, because the leader
+// of the former shard started them.
 func (r *receiver) changeShard(now time.Time, shard string) {
 	for _, o := range r.jobsOf(r.home) {
 		if o.job.Zone != "" {
@@ -186,8 +186,8 @@
 	return workers
 }
 
-// leaveShards takes the redirected jobs home, because the shards to whose leaders they are
-// forwarded do not exist any more.
+// leaveShards returns the redirected jobs to the home zone, because the shards to whose
+// leaders they are forwarded do not exist any more.
 func (r *receiver) leaveShards(now time.Time) {
 	for _, z := range r.zones[1:] {
 		for _, o := range r.jobsOf(z) {
