--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,11 +12,12 @@
 	// planOptimism scales the expected run times in a plan: a job is refused only if it
 	// would be late even if all runs ahead of it were that much shorter.
 	planOptimism = 0.75
-	// minForecastWait is the shortest wait behind the jobs in the queue from which on jobs
-	// that have not arrived yet count, too: a shorter queue may run dry, and capacity then
-	// goes to less urgent jobs or to none.
+	// minForecastWait is the shortest wait behind the queued jobs at which jobs that have not
+	// arrived yet count, too: a shorter queue may become empty, and capacity then goes to
+	// less urgent jobs or to none.
 	minForecastWait = 20 * time.Millisecond
-	// maxPlanAge is the age of a plan up to which its view of the load applies.
+	// maxPlanAge is the age of a plan up to which the overloaded pools that it found count
+	// as overloaded.
 	maxPlanAge = 50 * time.Millisecond
 	// silentWorkerTime is the time after which a plan expects a worker back that has not
 	// answered or that is excluded.
@@ -72,7 +73,7 @@
 
 // planQueue plans the course of the queue with the runs that are going on. It chooses the
 // jobs that get the minimum shares of their routes, and refuses those jobs that cannot end
-// in time behind the others, so that their callers know at once.
+// in time behind the others, so that their callers are told at once.
 func (d *dispatcher) planQueue(now time.Time) {
 	d.queue.sort()
 	if len(d.queue.jobs) == 0 || now.Sub(d.plannedAt) < planInterval {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -9,12 +9,12 @@
 
 const (
 	// demandTime is the time constant of the mean demand. It is short, so that the end of
-	// a flood is soon noticed, and long beside the gaps between arrivals.
+	// an overload is soon noticed, and long beside the gaps between arrivals.
 	demandTime = 500 * time.Millisecond
 	// maxDemandAhead is the largest share of the capacity that a forecast leaves to jobs
 	// that have not arrived yet.
 	maxDemandAhead = 0.9
-	// overloadDemand is the share of the capacity from which on a pool is overloaded: the
+	// overloadDemand is the share of the capacity at which a pool is overloaded: the
 	// waits of jobs that can end in time grow fast beyond it.
 	overloadDemand = 0.85
 	// ranksPerDoubling is the number of ranks of jobs between a work and its double.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -106,7 +106,7 @@
 	// lastTick is when tick was last called, and overdueFrom the time from which answers
 	// may count as overdue.
 	lastTick, overdueFrom time.Time
-	// restartPollNext is the index in led from which on pollForRestarts looks for workers.
+	// restartPollNext is the index in led at which pollForRestarts continues.
 	restartPollNext int
 	// unfenced is set if workers accept commands of any term.
 	unfenced bool
--- a/dispatch/floods_test.go
+++ b/dispatch/floods_test.go
@@ -34,8 +34,8 @@
 }
 
 // TestFloodsOfEachKind runs floods of each kind of jobs and of all kinds. The most urgent kind
-// is served as without a flood of others. The least urgent kind is not starved, and neither
-// are the large jobs of a kind. No refusal comes as late as the end of a job would, and a
+// is served as without a flood of others. The least urgent kind keeps its minimum share, and
+// the large jobs of each kind are served, too. No refusal comes as late as the end of a job would, and a
 // second after the flood the callers are served again.
 func TestFloodsOfEachKind(t *testing.T) {
 	for _, f := range modelFloods {
@@ -61,7 +61,7 @@
 
 // TestLeastUrgentRouteKeepsItsShare floods the pool with jobs of the middle urgency, which
 // need much more than its capacity. Without a minimum share for each route, strict urgency
-// would starve the least urgent one.
+// would leave no capacity to the least urgent one.
 func TestLeastUrgentRouteKeepsItsShare(t *testing.T) {
 	is := is.New(t)
 	m := newLoadModel(11)
--- a/dispatch/followed_zone.go
+++ b/dispatch/followed_zone.go
@@ -33,8 +33,8 @@
 	return !z.leaderlessSince.IsZero() && now.Sub(z.leaderlessSince) > d
 }
 
-// earlierRunsEndBy returns the time by which the runs of the former leader have ended. If the
-// leader was not lost before now, it counts as the former one from now on.
+// earlierRunsEndBy returns the time by which the runs of the former leader have ended. If it
+// is not known when that leader was last seen, it counts as seen at now.
 func (z *followedZone) earlierRunsEndBy(now time.Time) time.Time {
 	if !z.formerLastSeen.IsZero() {
 		return z.formerLastSeen.Add(earlierRunsTimeout)
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxLoadAge is the age from which on a received load is not used: three heartbeats
+	// maxLoadAge is the age above which a received load is not used: three heartbeats
 	// of its sender were lost or late.
 	maxLoadAge = 300 * time.Millisecond
 	// unseenTime is the time before the receipt of a load within which jobs that were
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -230,7 +230,7 @@
 
 // TestRandomFaultsWithUnreliableWorkers runs such faults while a tenth of the start and stop
 // commands to all workers are late, and two fifths of the answers of two fifths of the workers
-// are lost, those to polls, too: conclusions about runs in doubt must hold whatever else fails.
+// are lost, those to polls, too: conclusions about uncertain runs must hold whatever else fails.
 func TestRandomFaultsWithUnreliableWorkers(t *testing.T) {
 	for seed := range seeds() {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
--- a/dispatch/retry_after.go
+++ b/dispatch/retry_after.go
@@ -15,8 +15,8 @@
 )
 
 // retryAfter returns the time after which the caller of a refused job should submit it
-// again. Capacity is expected to be free again after wait. The callers of less urgent and
-// of larger jobs come back over a longer time: spread is at least 0. The time is not beyond
+// again. Capacity is expected to be free again after wait. The retries of less urgent and
+// of larger jobs are spread over a longer time: spread is at least 0. The time is not beyond
 // the caller's deadline, if a shorter one is possible.
 func retryAfter(now time.Time, id string, wait, spread time.Duration, deadline time.Time) time.Duration {
 	target := wait + time.Duration(retryJitter(id)*float64(spread))
@@ -31,8 +31,8 @@
 	return max(after, minRetryAfter)
 }
 
-// defaultRetrySpread is the time over which the callers come back that were refused for a
-// reason other than the load: the time in which a new leader usually leads.
+// defaultRetrySpread is the time over which the retries of jobs are spread that were refused
+// for a reason other than the load: the time in which a new leader usually leads.
 const defaultRetrySpread = time.Second
 
 // retryAfterRefusal returns the time after which the caller of j should submit it again, if
@@ -41,8 +41,8 @@
 	return retryAfter(now, j.ID, defaultRetrySpread, time.Duration(1+max(j.Urgency, 0))*defaultRetrySpread, j.CallerDeadline)
 }
 
-// retrySpread returns the time over which the callers of refused jobs of the same kind and
-// size as j come back: that of the most urgent and smallest within the first step.
+// retrySpread returns the time over which the retries of refused jobs of the same kind and
+// size as j are spread: those of the most urgent and smallest within the first step.
 func (j *activeJob) retrySpread() time.Duration {
 	spread := retryStep * time.Duration(1+max(j.Urgency, 0))
 	if j.size != ordinarySize {
@@ -52,7 +52,7 @@
 }
 
 // retryJitter returns a number in [0, 1) that is derived from a job's ID, so that refused
-// callers do not all come back at the same time.
+// callers do not all retry at the same time.
 func retryJitter(id string) float64 {
 	h := fnv.New32a()
 	h.Write([]byte(id))
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -6,7 +6,7 @@
 	// minRouteShare is the share of a pool's capacity that each route may use under
 	// overload before more urgent routes, so that each gets some capacity.
 	minRouteShare = 0.05
-	// displacedDemand is the share of the capacity from which on more urgent jobs leave
+	// displacedDemand is the share of the capacity at which more urgent jobs leave
 	// only a minimum share to a route.
 	displacedDemand = 0.9
 	// overloadReserve is the share of the capacity of an overloaded pool that stays free
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -18,17 +18,17 @@
 	// unknownRunSpread is the deviation before any run time is known: the end of a run is
 	// overdue after twice its expected run time.
 	unknownRunSpread = math.Ln2 / runSpreads
-	// minProgress is the progress, in percent, from which on it predicts the end of a run
-	// better than the expected run time.
+	// minProgress is the least progress, in percent, that predicts the end of a run better
+	// than the expected run time.
 	minProgress = 25
-	// maxTickGap is the time between two ticks from which on the process was paused.
+	// maxTickGap is the time between two ticks above which the process counts as paused.
 	maxTickGap = 50 * time.Millisecond
 	// overrunGrowth is the factor by which a run without reported progress exceeds its
 	// expected run time before its worker is asked again.
 	overrunGrowth = 1.5
 	// confirmedStartWindow is the time for which a confirmed start shows that a worker carries
-	// out starts, and lostStartLimit the number of lost starts in a row from which on
-	// they count as failures of such a worker nevertheless.
+	// out starts, and lostStartLimit the number of lost starts in a row at which they count
+	// as failures of such a worker nevertheless.
 	confirmedStartWindow = time.Second
 	lostStartLimit       = 4
 )
--- a/peer/standby.go
+++ b/peer/standby.go
@@ -10,8 +10,8 @@
 
 const (
 	// maxStandbys is the number of instances of other zones that a leader without a fit
-	// successor in its own zone keeps in touch with, and standbyHeartbeatEvery the time
-	// between its heartbeats to them: below LeaderTimeout, so that they count as live.
+	// successor in its own zone sends heartbeats to, and standbyHeartbeatEvery the time
+	// between these heartbeats: below LeaderTimeout, so that the standbys count as live.
 	maxStandbys           = 2
 	standbyHeartbeatEvery = 200 * time.Millisecond
 )
