--- a/dispatch/even_waits.go
+++ b/dispatch/even_waits.go
@@ -8,8 +8,8 @@
 
 // queueBudget returns the work, in core-seconds, that may be redirected into the queue of a
 // zone with the given capacity, in thousandths of a core, by each of the leaders that need
-// capacity: together they even out the waits at most. The argument sent is the work that this leader
-// has redirected to the zone since its load.
+// capacity: together they even out the waits at most. The argument sent is the work that this
+// leader has redirected to the zone since its load.
 //
 // Without such redirects the zone with the most demand would refuse more jobs than the others
 // while all zones are overloaded, because none of them has free capacity.
--- a/dispatch/floods_test.go
+++ b/dispatch/floods_test.go
@@ -35,8 +35,8 @@
 
 // TestFloodsOfEachKind runs floods of each kind of jobs and of all kinds. The most urgent kind
 // is served as without a flood of others. The least urgent kind keeps its minimum share, and
-// the large jobs of each kind are served, too. No refusal comes as late as the end of a job would, and a
-// second after the flood the callers are served again.
+// the large jobs of each kind are served, too. No refusal comes as late as the end of a job
+// would, and a second after the flood the callers are served again.
 func TestFloodsOfEachKind(t *testing.T) {
 	for _, f := range modelFloods {
 		t.Run(f.name, func(t *testing.T) {
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -116,8 +116,8 @@
 }
 
 // leadersNeedingCapacity returns the number of leaders that share the free capacity of zone:
-// this one, and those of the others that need capacity or have sent no recent load. The argument others
-// is the number of all other leaders.
+// this one, and those of the others that need capacity or have sent no recent load. The
+// argument others is the number of all other leaders.
 func (l *receivedLoads) leadersNeedingCapacity(now time.Time, zone, pool string, others int) int {
 	n := max(others, 1)
 	for other := range l.zones {
