--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -126,9 +126,9 @@
 	earlierRunsEndBy time.Time
 }
 
-// resubmit reports whether job is a new submission of a job that was refused or given up, and
-// continues the account of it: its worth depends on the caller's first request, and runs of
-// its tasks may have been started before. A receiver that has only missed the end marks the
+// resubmit reports whether job is a new submission of a job that was refused or given up. If
+// so, job gets the arrival time of the first submission, on which its worth depends, and the
+// earlier leaders, whose runs of its tasks may not have ended. A receiver that has only missed the end marks the
 // job as one that was forwarded before.
 func (k *keptEnd) resubmit(job *Job) bool {
 	if job.EarlierLeaders > 0 || (k.end.State != NotRun && k.end.State != Overdue) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -253,13 +253,14 @@
 	forecast forecast
 	// queued is set while the job is in the leader's queue.
 	queued bool
-	late   bool
+	// late is set once the job cannot meet its objective any more.
+	late bool
 	// waitLogged is set once a task of the job has found no worker.
 	waitLogged bool
 }
 
-// worthlessAfter returns the time after which the end of the job is worthless. A caller that
-// submits a job again waits for it again.
+// worthlessAfter returns the time after which the end of the job is worthless. It is
+// counted from the latest submission, because the caller waits anew after that.
 func (j *activeJob) worthlessAfter() time.Time {
 	return j.submitted.Add(lateFactor * j.objective.Sub(j.Arrived))
 }
