--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -95,11 +95,11 @@
 	j.chainTime = longest
 	j.objective = job.Arrived.Add(time.Duration(job.Stretch*float64(nominal)) + job.Slack - overhead)
 	j.size = d.sizes.classify(j)
-	j.first = d.sizes.behind(j)
+	j.largeFirst = d.sizes.underserved(j)
 	j.late = now.Add(d.minChainTime(j)).After(j.objective)
 	d.demand.add(now, j)
 	capacity := d.overloadedPools(now)[j.Pool]
-	j.scarce, j.crowdedOut = d.scarceFor(j, capacity), d.crowdsOut(j, capacity)
+	j.scarce, j.displaced = d.scarceFor(j, capacity), d.isDisplaced(j, capacity)
 	d.adoptRuns(now, j)
 	return j
 }
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,12 +12,13 @@
 	// planOptimism scales the expected run times in a plan: a job is refused only if it
 	// would be late even if all runs ahead of it were that much shorter.
 	planOptimism = 0.75
-	// minForecastWait is the shortest wait behind the jobs in the queue from which on jobs
-	// that have not arrived yet count, too: a shorter queue may run dry, and capacity then
-	// goes to less urgent jobs or to none.
+	// minForecastWait is the shortest wait behind the queued jobs at which jobs that have not
+	// arrived yet count, too: a shorter queue may become empty, and capacity then goes to
+	// less urgent jobs or to none.
 	minForecastWait = 20 * time.Millisecond
-	// overloadMemory is the age of a plan up to which its view of the load applies.
-	overloadMemory = 50 * time.Millisecond
+	// maxPlanAge is the age of a plan up to which the overloaded pools that it found count
+	// as overloaded.
+	maxPlanAge = 50 * time.Millisecond
 	// silentWorkerTime is the time after which a plan expects a worker back that has not
 	// answered or that is excluded.
 	silentWorkerTime = 100 * time.Millisecond
@@ -72,7 +73,7 @@
 
 // planQueue plans the course of the queue with the runs that are going on. It chooses the
 // jobs that get the minimum shares of their routes, and refuses those jobs that cannot end
-// in time behind the others, so that their callers know at once.
+// in time behind the others, so that their callers are told at once.
 func (d *dispatcher) planQueue(now time.Time) {
 	d.queue.sort()
 	if len(d.queue.jobs) == 0 || now.Sub(d.plannedAt) < planInterval {
@@ -81,7 +82,7 @@
 	d.plannedAt = now
 	pools := d.planPools(now)
 	d.findOverload(now, pools)
-	d.favorRoutes(now, pools)
+	d.assignMinShares(now, pools)
 	d.queue.sort()
 	for _, j := range append([]*activeJob(nil), d.queue.jobs...) {
 		pool := pools[j.Pool]
@@ -89,7 +90,7 @@
 			continue
 		}
 		if !d.planJob(now, pool, j) {
-			d.giveUp(now, j, j.hopelessReason())
+			d.giveUp(now, j, j.refusalReason())
 		}
 		j.planned = true
 	}
@@ -137,14 +138,14 @@
 // overloadedPools returns the capacity of those pools that were overloaded in a recent plan,
 // in thousandths of a core.
 func (d *dispatcher) overloadedPools(now time.Time) map[string]int {
-	if now.Sub(d.plannedAt) > overloadMemory {
+	if now.Sub(d.plannedAt) > maxPlanAge {
 		return nil
 	}
 	return d.overloaded
 }
 
-// hopelessReason returns the reason of the refusal of a job that cannot end in time.
-func (j *activeJob) hopelessReason() string {
+// refusalReason returns the reason of the refusal of a job that cannot end in time.
+func (j *activeJob) refusalReason() string {
 	if j.planned {
 		return "displaced"
 	}
--- a/dispatch/foreign_receivers.go
+++ b/dispatch/foreign_receivers.go
@@ -9,15 +9,15 @@
 
 // foreignReceiverRetention is the time for which a receiver of another zone gets heartbeats
 // after its last job here has ended. The withdrawals that it repeats arrive meanwhile, and
-// its next redirected job needs no new acquaintance.
+// its next redirected job needs no first heartbeat.
 const foreignReceiverRetention = 2 * time.Second
 
 // foreignReceiver is a receiver of jobs that were redirected to this leader.
 type foreignReceiver struct {
 	// forwardedAt is when it last forwarded a job, and activeAt when it last had one here.
 	forwardedAt, activeAt time.Time
-	// greeted is set once a heartbeat was sent to it.
-	greeted bool
+	// notified is set once takeNew has returned it, so that a heartbeat is sent to it.
+	notified bool
 }
 
 // foreignReceivers are the receivers of other zones whose redirected jobs a leader has. The
@@ -42,13 +42,13 @@
 	return time.Time{}
 }
 
-// greet returns the receivers that are new since the last call, in order. The first heartbeat
+// takeNew returns the receivers that are new since the last call, in order. The first heartbeat
 // is sent to them at once: no task is started before they have confirmed their jobs.
-func (f foreignReceivers) greet() []netip.AddrPort {
+func (f foreignReceivers) takeNew() []netip.AddrPort {
 	var fresh []netip.AddrPort
 	for addr, r := range f {
-		if !r.greeted {
-			r.greeted = true
+		if !r.notified {
+			r.notified = true
 			fresh = append(fresh, addr)
 		}
 	}
@@ -56,7 +56,7 @@
 	return fresh
 }
 
-// update forgets the receivers without jobs for foreignReceiverRetention.
+// update removes the receivers that have had no job for foreignReceiverRetention.
 func (f foreignReceivers) update(now time.Time, jobs map[string]*activeJob) {
 	if len(f) == 0 {
 		return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -234,14 +234,15 @@
 	runTimes []time.Duration
 	// size is the class of the job by its work within its kind.
 	size sizeClass
-	// favored is set while the job gets the minimum share of its route, reserved while it
-	// is one of the next to get it, and first while large jobs of its kind come first.
-	favored, reserved, first bool
+	// getsMinShare is set while the job gets the minimum share of its route, reserved while it
+	// is one of the next to get it, and largeFirst while large jobs of its kind come first and
+	// it is one of them.
+	getsMinShare, reserved, largeFirst bool
 	// scarce is set while the capacity does not suffice for all jobs of the job's urgency
 	// and the more urgent ones.
 	scarce bool
-	// crowdedOut is set while more urgent jobs need almost all capacity.
-	crowdedOut bool
+	// displaced is set while more urgent jobs need almost all capacity.
+	displaced bool
 	// demandRank is the rank of the job in the demand for its pool, and rank that
 	// in the queue when it was last sorted.
 	demandRank demandRank
@@ -252,13 +253,14 @@
 	forecast forecast
 	// queued is set while the job is in the leader's queue.
 	queued bool
-	late   bool
+	// late is set once the job cannot meet its objective any more.
+	late bool
 	// waitLogged is set once a task of the job has found no worker.
 	waitLogged bool
 }
 
-// worthlessAfter returns the time after which the end of the job is worthless. A caller that
-// submits a job again waits for it again.
+// worthlessAfter returns the time after which the end of the job is worthless. It is
+// counted from the latest submission, because the caller waits anew after that.
 func (j *activeJob) worthlessAfter() time.Time {
 	return j.submitted.Add(lateFactor * j.objective.Sub(j.Arrived))
 }
