--- /dev/null
+++ b/review/rig-2/cases.go
@@ -0,0 +1,459 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Bounds of the pages, as the settings of the small deployment give them.
+const (
+	drainBound  = 2 * time.Second
+	cancelBound = 3 * time.Second
+	stopBound   = 50 * time.Millisecond
+)
+
+// settled is how long after the first list of a new life's runs was answered a start on it counts:
+// a start that was on its way then is not held against the sender.
+const settled = 50 * time.Millisecond
+
+var (
+	kindA = kind{millicores: 64000, memory: 131072, labels: []string{"a", "r1-1"}, guards: true}
+	kindB = kind{millicores: 96000, memory: 196608, labels: []string{"b", "r1-2"}, guards: true}
+)
+
+// perZone are the instances of a small site in its three zones.
+var perZone = []int{3, 3, 2}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// newClient returns a client that keeps connections to each instance.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+}
+
+// traffic hands jobs in at the given interval, at the instances in turn, until stop is closed. It
+// returns once all are answered.
+func (r *rig) traffic(every time.Duration, next func(n int) job, stop <-chan struct{}) map[int]int {
+	client := newClient()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	answers := make(map[int]int)
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			wg.Wait()
+			return answers
+		case <-ticker.C:
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				status, _ := r.submit(client, r.instances[n%len(r.instances)], next(n), 1500*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[status]++
+			}()
+		}
+	}
+}
+
+// downTime is how long a crashed worker is down, and crashEvery the time between two crashes.
+const (
+	downTime   = 250 * time.Millisecond
+	crashEvery = 3 * time.Second
+)
+
+// crashInTurns has workers crash and start again under their IDs, each four times, one at a time. In
+// its next life a worker is of the kind next, in the one after that as before, and so on.
+func (r *rig) crashInTurns(workers []*worker, next kind, trouble bool) error {
+	before := kindB
+	before.guards = next.guards
+	for n := range 4 * len(workers) {
+		time.Sleep(crashEvery - downTime)
+		if trouble {
+			workers[n/2%len(workers)].crash()
+		}
+		time.Sleep(downTime)
+		if !trouble {
+			continue
+		}
+		k := next
+		if n%2 == 1 {
+			k = before
+		}
+		if err := workers[n/2%len(workers)].begin(k); err != nil {
+			return err
+		}
+	}
+	time.Sleep(crashEvery)
+	return nil
+}
+
+// whenListed says when s came, seen from the first list of runs of the worker's life, and whether
+// it counts.
+func (s start) whenListed() (string, bool) {
+	if s.listedAt.IsZero() {
+		return "before its life had listed its runs", false
+	}
+	after := s.at.Sub(s.listedAt)
+	return fmt.Sprintf("%d ms after its life, born %d, had listed its runs for the first time", after.Milliseconds(), s.life.born.UnixMilli()), after > settled
+}
+
+// fleet returns the workers of a rig with four workers of kind B among others of kind A.
+func fleet(guards bool) (kinds []kind, isB []int) {
+	a, b := kindA, kindB
+	a.guards, b.guards = guards, guards
+	kinds, isB = slices.Repeat([]kind{a}, 12), []int{2, 3, 7, 10}
+	for _, n := range isB {
+		kinds[n] = b
+	}
+	return kinds, isB
+}
+
+func (r *rig) pick(numbers []int) []*worker {
+	var picked []*worker
+	for _, n := range numbers {
+		picked = append(picked, r.workers[n])
+	}
+	return picked
+}
+
+// runKinds has workers crash and start again under their IDs as another kind, with other labels.
+func runKinds(dir string, trouble bool) (bool, error) {
+	kinds, isB := fleet(true)
+	r, err := newRig(dir, perZone, kinds, true)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	answers := make(chan map[int]int, 1)
+	go func() {
+		answers <- r.traffic(25*time.Millisecond, func(n int) job {
+			s := step{Count: 2, CPU: 27000, MemMb: 64, EstimatedMs: 200, lasts: 200 * time.Millisecond}
+			if n%3 > 0 {
+				s.Label = "b"
+			}
+			return job{id: newID(), steps: []step{s}}
+		}, stop)
+	}()
+	if err = r.crashInTurns(r.pick(isB), kindA, trouble); err != nil {
+		return false, err
+	}
+	close(stop)
+	r.note("answers %v", <-answers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := 0
+	for _, s := range r.starts {
+		if s.need.label == "" || slices.Contains(s.life.kind.labels, s.need.label) {
+			continue
+		}
+		when, counts := s.whenListed()
+		if counts {
+			broken++
+		}
+		r.noteLocked("ROUTE: %s, which needs label %q, starts on %s with labels %v, %d ms after its entry was stored, %s; counts=%t",
+			s.task, s.need.label, s.worker.id, s.life.kind.labels, s.at.Sub(s.life.born).Milliseconds(), when, counts)
+	}
+	return r.verdict("ROUTE", broken, 500)
+}
+
+// runRoom has workers that don't guard their capacity crash and start again under their IDs as a
+// smaller kind.
+func runRoom(dir string, trouble bool) (bool, error) {
+	kinds, isB := fleet(false)
+	r, err := newRig(dir, perZone, kinds, false)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	answers := make(chan map[int]int, 1)
+	go func() { answers <- r.traffic(15*time.Millisecond, r.plainJobs(2, 200*time.Millisecond), stop) }()
+	if err = r.crashInTurns(r.pick(isB), kinds[0], trouble); err != nil {
+		return false, err
+	}
+	close(stop)
+	r.note("answers %v", <-answers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := 0
+	for _, s := range r.starts {
+		if s.used <= s.life.kind.millicores {
+			continue
+		}
+		when, counts := s.whenListed()
+		if counts {
+			broken++
+		}
+		r.noteLocked("LIMIT: %s starts on %s, which then uses %d of %d thousandths of a core, %d ms after its entry was stored, %s; counts=%t",
+			s.task, s.worker.id, s.used, s.life.kind.millicores, s.at.Sub(s.life.born).Milliseconds(), when, counts)
+	}
+	return r.verdict("LIMIT", broken, 500)
+}
+
+// verdict reports how many starts have broken a rule. The case could not run with fewer than least
+// starts. The caller holds r.mu.
+func (r *rig) verdict(rule string, broken, least int) (bool, error) {
+	text := fmt.Sprintf("%d starts, %d break %s", len(r.starts), broken, rule)
+	r.noteLocked("%s", text)
+	fmt.Println(text)
+	if len(r.starts) < least {
+		return false, fmt.Errorf("only %d starts", len(r.starts))
+	}
+	return broken > 0, nil
+}
+
+// runCancel has a client cancel jobs. The connection with the first DELETE is reset, and the client
+// sends it again.
+func runCancel(dir string, trouble bool) (bool, error) {
+	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	// The platform's address for clients of the first zone. It selects the second instance there
+	// for this client, and the third one for its retries.
+	home, other := r.instances[1], r.instances[2]
+	reset := make(chan bool, 1)
+	vip, err := net.Listen("tcp", fmt.Sprintf("%s.240:%d", r.network, r.port))
+	if err != nil {
+		return false, err
+	}
+	defer vip.Close()
+	go func() {
+		for {
+			c, err := vip.Accept()
+			if err != nil {
+				return
+			}
+			select {
+			case <-reset:
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			default:
+				go forward(c, r.caller(home))
+			}
+		}
+	}()
+	type cancelled struct {
+		id    string
+		acked time.Time
+	}
+	var done []cancelled
+	var wg sync.WaitGroup
+	for range 4 {
+		j := job{id: newID()}
+		for n := range 14 {
+			s := step{Count: 1, CPU: 27000, MemMb: 64, EstimatedMs: 450, lasts: 450 * time.Millisecond}
+			if n > 0 {
+				s.DependsOn = []int{n - 1}
+			}
+			j.steps = append(j.steps, s)
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.submitAt(newClient(), vip.Addr().String(), j, 12*time.Second)
+		}()
+		time.Sleep(700 * time.Millisecond)
+		if trouble {
+			reset <- true
+		}
+		status, text := r.request(&http.Client{Transport: &http.Transport{}}, http.MethodDelete, vip.Addr().String(), j, nil, time.Second)
+		r.note("client gets %d %s for DELETE %s", status, text, j.id)
+		if status == 0 {
+			status, text = r.request(&http.Client{Transport: &http.Transport{}}, http.MethodDelete, r.caller(other), j, nil, time.Second)
+			r.note("client sends DELETE %s again, which reaches %s, and gets %d %s", j.id, other.name, status, text)
+		}
+		if status/100 != 2 && status != http.StatusGone {
+			return false, fmt.Errorf("DELETE is answered %d %s", status, text)
+		}
+		done = append(done, cancelled{j.id, time.Now()})
+		time.Sleep(500 * time.Millisecond)
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := 0
+	for _, c := range done {
+		late := 0
+		for _, s := range r.starts {
+			if s.task[:16] == c.id && s.at.Sub(c.acked) > cancelBound {
+				late++
+				r.noteLocked("UNASKED: %s starts %d ms after the cancelling of its job was acknowledged", s.task, s.at.Sub(c.acked).Milliseconds())
+			}
+		}
+		if late > 0 {
+			broken++
+		}
+	}
+	r.noteLocked("%d jobs cancelled, %d break UNASKED", len(done), broken)
+	fmt.Printf("%d jobs cancelled, %d break UNASKED\n", len(done), broken)
+	if len(r.starts) < len(done) {
+		return false, fmt.Errorf("only %d starts", len(r.starts))
+	}
+	return broken > 0, nil
+}
+
+// forward connects a client with an instance.
+func forward(client net.Conn, address string) {
+	defer client.Close()
+	instance, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer instance.Close()
+	done := make(chan struct{}, 2)
+	pass := func(to, from net.Conn) {
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := from.Read(buffer)
+			if n > 0 {
+				if _, err := to.Write(buffer[:n]); err != nil {
+					break
+				}
+			}
+			if err != nil {
+				break
+			}
+		}
+		done <- struct{}{}
+	}
+	go pass(instance, client)
+	go pass(client, instance)
+	<-done
+}
+
+// plainJobs returns jobs with the given number of tasks, each of which takes lasts.
+func (r *rig) plainJobs(tasks int, lasts time.Duration) func(int) job {
+	return func(int) job {
+		s := step{Count: tasks, CPU: 27000, MemMb: 64, EstimatedMs: int(lasts.Milliseconds()), lasts: lasts}
+		return job{id: newID(), steps: []step{s}}
+	}
+}
+
+// runEntry has another writer write an entry without some fields under the ID of a worker. Its
+// address is that of another worker.
+func runEntry(dir string, trouble bool) (bool, error) {
+	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	broken := 0
+	running := make(map[string][]string)
+	r.mu.Lock()
+	r.onStart = func(s start) {
+		if others := running[s.task]; len(others) > 0 {
+			broken++
+			r.noteLocked("TWICE: %s starts on %s while it runs on %v", s.task, s.worker.id, others)
+		}
+		running[s.task] = append(running[s.task], s.worker.id)
+	}
+	r.onEnd = func(w *worker, task string, _ int, _ string) {
+		running[task] = slices.DeleteFunc(running[task], func(id string) bool { return id == w.id })
+	}
+	r.mu.Unlock()
+	stop := make(chan struct{})
+	answers := make(chan map[int]int, 1)
+	go func() { answers <- r.traffic(80*time.Millisecond, r.plainJobs(2, 700*time.Millisecond), stop) }()
+	time.Sleep(3 * time.Second)
+	for n := range 4 {
+		w, other := r.workers[n], r.workers[n+4]
+		if trouble {
+			r.putForeign(w, other.address)
+		}
+		time.Sleep(4 * time.Second)
+	}
+	close(stop)
+	r.note("answers %v", <-answers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.verdict("TWICE", broken, 200)
+}
+
+// putForeign writes an entry under the ID of w as another writer: the fields labels, slots,
+// version, sequence, cold_remaining_ms and born are missing.
+func (r *rig) putForeign(w *worker, address string) {
+	body, err := json.Marshal(map[string]any{
+		"service": r.service, "address": address, "zone": w.zone, "state": "ready",
+		"capacity": map[string]int{"cpu": kindA.millicores, "mem_mb": kindA.memory},
+	})
+	if err != nil {
+		panic(err)
+	}
+	r.store.put("keyed.servers", w.id, body)
+	r.note("another writer writes %s under the ID of %s", body, w.id)
+}
+
+// runGarbled has another writer write bytes that can't be read under the ID of a worker that is
+// draining, after each of the worker's own entries.
+func runGarbled(dir string, trouble bool) (bool, error) {
+	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	answers := make(chan map[int]int, 1)
+	go func() { answers <- r.traffic(25*time.Millisecond, r.plainJobs(2, 200*time.Millisecond), stop) }()
+	time.Sleep(2 * time.Second)
+	drained := make(map[string]time.Time)
+	for n := range 3 {
+		w := r.workers[n]
+		if trouble {
+			r.setAccepted(func(topic, key string, value []byte) {
+				if topic == "keyed.servers" && key == w.id && len(value) > 2 {
+					time.AfterFunc(10*time.Millisecond, func() {
+						r.store.put("keyed.servers", w.id, []byte{0xff, 0xfe})
+						r.note("another writer writes two bytes that can't be read under the ID of %s", w.id)
+					})
+				}
+			})
+		}
+		drained[w.id] = w.drain()
+		time.Sleep(6 * time.Second)
+		r.setAccepted(nil)
+		w.leave()
+		time.Sleep(time.Second)
+	}
+	close(stop)
+	r.note("answers %v", <-answers)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := 0
+	for _, s := range r.starts {
+		if at, ok := drained[s.worker.id]; ok && s.at.Sub(at) > drainBound {
+			broken++
+			r.noteLocked("DRAIN: %s starts on %s %d ms after the store accepted that it is draining", s.task, s.worker.id, s.at.Sub(at).Milliseconds())
+		}
+	}
+	return r.verdict("DRAIN", broken, 500)
+}
+
+// setAccepted sets what is called with each record that the store has accepted.
+func (r *rig) setAccepted(f func(topic, key string, value []byte)) {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.store.accepted = f
+}
