--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -15,7 +15,6 @@
 const (
 	drainBound  = 2 * time.Second
 	cancelBound = 3 * time.Second
-	stopBound   = 50 * time.Millisecond
 )
 
 // settled is how long after the first list of a new life's runs was answered a start on it counts:
@@ -216,47 +215,62 @@
 	return broken > 0, nil
 }
 
-// runCancel has a client cancel jobs. The connection with the first DELETE is reset, and the client
-// sends it again.
-func runCancel(dir string, trouble bool) (bool, error) {
-	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
-	if r != nil {
-		defer func() { r.close(err != nil) }()
-	}
-	if err != nil {
-		return false, err
-	}
-	// The platform's address for clients of the first zone. It selects the second instance there
-	// for this client, and the third one for its retries.
-	home, other := r.instances[1], r.instances[2]
-	reset := make(chan bool, 1)
-	vip, err := net.Listen("tcp", fmt.Sprintf("%s.240:%d", r.network, r.port))
+// resendAfter is when clients send a job again that got no answer.
+const resendAfter = 1300 * time.Millisecond
+
+// platformAddress is the platform's address for the clients of one zone. It forwards the connections
+// of a client to its home instance, and those of its retries to another one.
+type platformAddress struct {
+	listener net.Listener
+	home     string
+	// reset has a value for each connection that is to be reset.
+	reset chan bool
+}
+
+func newPlatformAddress(address, home string) (*platformAddress, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	defer vip.Close()
+	p := &platformAddress{listener: listener, home: home, reset: make(chan bool, 1)}
 	go func() {
 		for {
-			c, err := vip.Accept()
+			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			select {
-			case <-reset:
+			case <-p.reset:
 				_ = c.(*net.TCPConn).SetLinger(0)
 				_ = c.Close()
 			default:
-				go forward(c, r.caller(home))
+				go forward(c, home)
 			}
 		}
 	}()
-	type cancelled struct {
-		id    string
-		acked time.Time
+	return p, nil
+}
+
+// runCancel has a client cancel jobs, of which each is handed in on one connection and cancelled on
+// another one. Of two jobs the connection with the DELETE is reset, and of the other two the one with
+// the POST. The client sends such a request again.
+func runCancel(dir string, trouble bool) (bool, error) {
+	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+	if r != nil {
+		defer func() { r.close(err != nil) }()
+	}
+	if err != nil {
+		return false, err
+	}
+	home, other := r.instances[1], r.instances[2]
+	platform, err := newPlatformAddress(fmt.Sprintf("%s.240:%d", r.network, r.port), r.caller(home))
+	if err != nil {
+		return false, err
 	}
-	var done []cancelled
+	defer platform.listener.Close()
+	acked := make(map[string]time.Time)
 	var wg sync.WaitGroup
-	for range 4 {
+	for n := range 4 {
 		j := job{id: newID()}
 		for n := range 14 {
 			s := step{Count: 1, CPU: 27000, MemMb: 64, EstimatedMs: 450, lasts: 450 * time.Millisecond}
@@ -265,50 +279,64 @@
 			}
 			j.steps = append(j.steps, s)
 		}
+		postLost := n >= 2
+		if trouble && postLost {
+			platform.reset <- true
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			r.submitAt(newClient(), vip.Addr().String(), j, 12*time.Second)
+			status, _ := r.submitAt(newClient(), platform.listener.Addr().String(), j, 12*time.Second)
+			if status == 0 {
+				time.Sleep(resendAfter)
+				r.submit(newClient(), other, j, 12*time.Second)
+			}
 		}()
-		time.Sleep(700 * time.Millisecond)
-		if trouble {
-			reset <- true
+		time.Sleep(resendAfter + 700*time.Millisecond)
+		if trouble && !postLost {
+			platform.reset <- true
 		}
-		status, text := r.request(&http.Client{Transport: &http.Transport{}}, http.MethodDelete, vip.Addr().String(), j, nil, time.Second)
-		r.note("client gets %d %s for DELETE %s", status, text, j.id)
+		status, text := r.cancel(platform.listener.Addr().String(), home, j)
 		if status == 0 {
-			status, text = r.request(&http.Client{Transport: &http.Transport{}}, http.MethodDelete, r.caller(other), j, nil, time.Second)
-			r.note("client sends DELETE %s again, which reaches %s, and gets %d %s", j.id, other.name, status, text)
+			status, text = r.cancel(r.caller(other), other, j)
 		}
 		if status/100 != 2 && status != http.StatusGone {
 			return false, fmt.Errorf("DELETE is answered %d %s", status, text)
 		}
-		done = append(done, cancelled{j.id, time.Now()})
+		acked[j.id] = time.Now()
 		time.Sleep(500 * time.Millisecond)
 	}
 	wg.Wait()
 	time.Sleep(time.Second)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	broken := 0
-	for _, c := range done {
-		late := 0
-		for _, s := range r.starts {
-			if s.task[:16] == c.id && s.at.Sub(c.acked) > cancelBound {
-				late++
-				r.noteLocked("UNASKED: %s starts %d ms after the cancelling of its job was acknowledged", s.task, s.at.Sub(c.acked).Milliseconds())
-			}
-		}
-		if late > 0 {
-			broken++
+	broken := make(map[string]bool)
+	for _, s := range r.starts {
+		id := s.task[:16]
+		if after := s.at.Sub(acked[id]); after > cancelBound {
+			broken[id] = true
+			r.noteLocked("UNASKED: %s starts %d ms after the cancelling of its job was acknowledged", s.task, after.Milliseconds())
 		}
 	}
-	r.noteLocked("%d jobs cancelled, %d break UNASKED", len(done), broken)
-	fmt.Printf("%d jobs cancelled, %d break UNASKED\n", len(done), broken)
-	if len(r.starts) < len(done) {
+	text := fmt.Sprintf("%d jobs cancelled, %d break UNASKED", len(acked), len(broken))
+	r.noteLocked("%s", text)
+	fmt.Println(text)
+	if len(r.starts) < len(acked) {
 		return false, fmt.Errorf("only %d starts", len(r.starts))
 	}
-	return broken > 0, nil
+	return len(broken) > 0, nil
+}
+
+// cancel sends a DELETE to an address, where it reaches the instance i unless its connection is
+// reset.
+func (r *rig) cancel(address string, i *instance, j job) (int, string) {
+	status, text := r.request(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodDelete, address, j, nil, time.Second)
+	if status == 0 {
+		r.note("client's connection with DELETE %s is reset: %s", j.id, text)
+	} else {
+		r.note("client gets %d %s for DELETE %s, which has reached %s", status, text, j.id, i.name)
+	}
+	return status, text
 }
 
 // forward connects a client with an instance.
