--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -16,7 +16,7 @@
 // second. TROUBLE=0 in the environment leaves the disruption out.
 func main() {
 	cases := map[string]func(dir string, trouble bool) (bool, error){
-		"cancel": runCancel, "entry": runEntry, "kinds": runKinds, "room": runRoom, "garbled": runGarbled,
+		"cancel": runCancel, "entry": runEntry, "kinds": runKinds, "room": runRoom, "garbled": runGarbled, "ended": runEnded,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE FOLDER")
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -49,17 +49,20 @@
 	lasts time.Duration
 }
 
-// job is a job of a client.
+// job is a job of a client on one of the queues.
 type job struct {
 	id    string
+	queue int
 	steps []step
 }
 
 // instance is a process of the product.
 type instance struct {
 	name, zone, ip string
-	command        *exec.Cmd
-	exited         chan struct{}
+	// log is the file with the process's output.
+	log     string
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 // rig is a small deployment.
@@ -69,7 +72,6 @@
 	port    int
 	service string
 	host    string
-	prefix  string
 	zones   []string
 	begun   time.Time
 
@@ -147,7 +149,7 @@
 	pid := os.Getpid()
 	r := &rig{
 		dir: temp, network: fmt.Sprintf("127.%d.%d", 30+pid%190, pid/190%250), service: "loan-desk",
-		host: "nony24.example", prefix: "/lohu930/",
+		host:  "nony24.example",
 		zones: []string{"gauteng-a", "gauteng-b", "gauteng-c"}, begun: time.Now(), store: newStore(),
 		record: record, jobs: make(map[string]job), port: 21000 + pid%200*40,
 	}
@@ -196,15 +198,32 @@
 	return nil
 }
 
+// queues is the number of queues, and urgent the only one with the highest priority. prefix returns
+// the beginning of the paths of one.
+const (
+	queues = 8
+	urgent = queues - 1
+)
+
+func prefix(queue int) string { return fmt.Sprintf("/lohu93%d/", queue) }
+
 // configure writes the operator's configuration.
 func (r *rig) configure(guards bool) {
 	r.tableVer += 3
+	var routes []map[string]any
+	for n := range queues {
+		priority := 2
+		if n == urgent {
+			priority = 0
+		}
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("lohu93%d", n), "host": r.host, "path_prefix": prefix(n), "service": r.service,
+			"timeout_ms": 12000, "priority": priority, "max_attempts": 4, "stretch_factor": 1.6, "target_latency_ms": 60,
+		})
+	}
 	body, err := json.Marshal(map[string]any{
-		"version": r.tableVer,
-		"routes": []map[string]any{{
-			"name": "lohu930", "host": r.host, "path_prefix": r.prefix, "service": r.service, "timeout_ms": 12000,
-			"priority": 0, "max_attempts": 4, "stretch_factor": 1.6, "target_latency_ms": 60,
-		}},
+		"version":  r.tableVer,
+		"routes":   routes,
 		"services": []map[string]any{{"name": r.service, "admission_control": guards}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	})
@@ -254,7 +273,8 @@
 
 // relaunch starts the process of an instance.
 func (r *rig) relaunch(i *instance) error {
-	out, err := os.OpenFile(filepath.Join(r.dir, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	i.log = filepath.Join(r.dir, i.name+".log")
+	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -322,7 +342,7 @@
 func (r *rig) request(client *http.Client, method, address string, j job, body []byte, wait time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+r.prefix+j.id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+prefix(j.queue)+j.id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -36,6 +36,8 @@
 	life     *life
 	state    string
 	sequence int
+	// healed is closed when a cut of the worker from all others ends. It is nil without a cut.
+	healed chan struct{}
 }
 
 // life is one incarnation of a worker.
@@ -163,6 +165,44 @@
 	w.rig.note("worker %s crashes with %d runs", w.id, lost)
 }
 
+// cut cuts the worker off for a time: calls get no answer, and its runs go on.
+func (w *worker) cut(lasts time.Duration) {
+	healed := make(chan struct{})
+	w.mu.Lock()
+	w.healed = healed
+	w.mu.Unlock()
+	w.rig.note("worker %s is cut off for %v", w.id, lasts)
+	time.AfterFunc(lasts, func() {
+		w.mu.Lock()
+		w.healed = nil
+		w.mu.Unlock()
+		close(healed)
+		w.rig.note("worker %s is no longer cut off", w.id)
+	})
+}
+
+// delivered waits until the worker is not cut off, and reports whether the caller still waits.
+func (w *worker) delivered(ctx context.Context) bool {
+	w.mu.Lock()
+	healed := w.healed
+	w.mu.Unlock()
+	if healed == nil {
+		return true
+	}
+	select {
+	case <-healed:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.healed != nil
+}
+
 // leave ends the present life and removes the worker's entry.
 func (w *worker) leave() {
 	w.crash()
@@ -195,6 +235,9 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !l.w.delivered(r.Context()) {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
@@ -334,6 +377,9 @@
 	if l.listedAt.IsZero() {
 		l.listedAt = time.Now()
 	}
+	if l.w.isCut() {
+		panic(http.ErrAbortHandler) // the answer is lost
+	}
 	writeJSON(rw, http.StatusOK, map[string]any{
 		"clock_ms": l.clock().Milliseconds(), "born": l.born.UnixMilli(), "running": running, "finished": finished,
 	})
