--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -12,9 +12,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -153,6 +155,7 @@
 		zones: []string{"gauteng-a", "gauteng-b", "gauteng-c"}, begun: time.Now(), store: newStore(),
 		record: record, jobs: make(map[string]job), port: 21000 + pid%200*40,
 	}
+	r.endOnSignal()
 	if err := r.listen(r.storeAddress(), r.store); err != nil {
 		return r, err
 	}
@@ -264,15 +267,17 @@
 	if err := os.WriteFile(file, node, 0o600); err != nil {
 		return err
 	}
-	if err := r.relaunch(i); err != nil {
+	if err := r.startProcess(i); err != nil {
 		return err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.instances = append(r.instances, i)
 	return nil
 }
 
-// relaunch starts the process of an instance.
-func (r *rig) relaunch(i *instance) error {
+// startProcess starts the process of an instance.
+func (r *rig) startProcess(i *instance) error {
 	i.log = filepath.Join(r.dir, i.name+".log")
 	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -315,12 +320,29 @@
 	return fmt.Errorf("%s is not ready", i.name)
 }
 
-// close ends all processes that the rig has started.
-func (r *rig) close(keepLogs bool) {
+// endOnSignal ends all processes that the rig has started when this one is told to end.
+func (r *rig) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		r.endInstances()
+		os.Exit(statusNotRun)
+	}()
+}
+
+func (r *rig) endInstances() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, i := range r.instances {
 		_ = i.command.Process.Kill()
 		<-i.exited
 	}
+}
+
+// close ends all processes that the rig has started.
+func (r *rig) close(keepLogs bool) {
+	r.endInstances()
 	for _, w := range r.workers {
 		if w.life != nil && w.life.server != nil {
 			_ = w.life.server.Close()
