--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -125,9 +125,9 @@
 }
 
 // runKinds has workers crash and start again under their IDs as another kind, with other labels.
-func runKinds(dir string, trouble bool) (bool, error) {
+func runKinds(record string, trouble bool) (bool, error) {
 	kinds, isB := fleet(true)
-	r, err := newRig(dir, perZone, kinds, true)
+	r, err := newRig(record, perZone, kinds, true)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
@@ -169,9 +169,9 @@
 
 // runRoom has workers that don't guard their capacity crash and start again under their IDs as a
 // smaller kind.
-func runRoom(dir string, trouble bool) (bool, error) {
+func runRoom(record string, trouble bool) (bool, error) {
 	kinds, isB := fleet(false)
-	r, err := newRig(dir, perZone, kinds, false)
+	r, err := newRig(record, perZone, kinds, false)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
@@ -254,8 +254,8 @@
 // runCancel has a client cancel jobs, of which each is handed in on one connection and cancelled on
 // another one. Of two jobs the connection with the DELETE is reset, and of the other two the one with
 // the POST. The client sends such a request again.
-func runCancel(dir string, trouble bool) (bool, error) {
-	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+func runCancel(record string, trouble bool) (bool, error) {
+	r, err := newRig(record, perZone, slices.Repeat([]kind{kindA}, 12), true)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
@@ -378,8 +378,8 @@
 
 // runEntry has another writer write an entry without some fields under the ID of a worker. Its
 // address is that of another worker.
-func runEntry(dir string, trouble bool) (bool, error) {
-	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+func runEntry(record string, trouble bool) (bool, error) {
+	r, err := newRig(record, perZone, slices.Repeat([]kind{kindA}, 12), true)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
@@ -434,8 +434,8 @@
 
 // runGarbled has another writer write bytes that can't be read under the ID of a worker that is
 // draining, after each of the worker's own entries.
-func runGarbled(dir string, trouble bool) (bool, error) {
-	r, err := newRig(dir, perZone, slices.Repeat([]kind{kindA}, 12), true)
+func runGarbled(record string, trouble bool) (bool, error) {
+	r, err := newRig(record, perZone, slices.Repeat([]kind{kindA}, 12), true)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
--- a/review/rig-2/ended.go
+++ b/review/rig-2/ended.go
@@ -20,8 +20,8 @@
 
 // runEnded has a worker cut off that ends the first task of a job and can't say so. The client gets
 // 504 and sends the job again, to another zone.
-func runEnded(dir string, trouble bool) (bool, error) {
-	r, err := newRig(dir, []int{3, 3, 3}, slices.Repeat([]kind{kindA}, zonedWorkers), true)
+func runEnded(record string, trouble bool) (bool, error) {
+	r, err := newRig(record, []int{3, 3, 3}, slices.Repeat([]kind{kindA}, zonedWorkers), true)
 	if r != nil {
 		defer func() { r.close(err != nil) }()
 	}
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -138,9 +138,10 @@
 }
 
 // newRig starts a store, workers of the given kinds (in turns over the zones) and instances, as
-// many in each zone as perZone says. It returns once all instances are ready.
-func newRig(dir string, perZone []int, kinds []kind, guards bool) (*rig, error) {
-	record, err := os.Create(filepath.Join(dir, "record.txt"))
+// many in each zone as perZone says. It writes the record to recordFile, and returns once all
+// instances are ready.
+func newRig(recordFile string, perZone []int, kinds []kind, guards bool) (*rig, error) {
+	record, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
 	}
