dispatch: a job that has ended starts nothing

What callers saw: a job that was answered 504 went on.

Cause: a worker that is cut off ends a task; the leader takes the run for lapsed and starts the task on a second worker; then the first worker is back and lists the end. The task was done, and counted as one without a run, while its second run went on. When the job ended, its runs were stopped only if "placed" was not 0, so that run kept its task. Its end put the job, which nothing could end a second time, back into the queue, and its receivers, which were still set, confirmed its runs.

Evidence: in the logs of the case, job-overdue with left=1 placed=0 follows worker-back within 0.2 ms, and 0.69 s later, when the second run ends, the same leader logs tasks-started for the job, with no job-accepted between them.

Change: that a job has ended is a state of its own. Charts in files hold the states of jobs and tasks, and an ended job and a done task take no event. The counts of tasks follow from the changes of state in one place. The runs that may be running are found by task, whatever the states: all are stopped when the job ends, and those that are left when a task is done. A task and the run for which it waits point to each other; the end of a job parts them, so that no later event of a run leads to the job. The same holds for a job that is cancelled, abandoned, past its deadline or dropped.

All simulations also check that no leader starts a task of a job after it has reported its end.

--- a/chart/docs_test.go
+++ b/chart/docs_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthwell/amaranthwell/backend"
 	"github.com/amaranthwell/amaranthwell/chart"
+	"github.com/amaranthwell/amaranthwell/dispatch"
 	"github.com/amaranthwell/amaranthwell/peer"
 )
 
@@ -38,7 +39,21 @@
 The states in which the holder of a backend server sees it
 (` + "`backend/health.chart.toml`" + `).
 
-` + mermaidBlock(backend.HealthChart())
+` + mermaidBlock(backend.HealthChart()) + `
+## The state of a job
+
+The states of a job at its leader (` + "`dispatch/job.chart.toml`" + `). A job that has
+ended takes no event: what its runs do afterwards changes nothing.
+
+` + mermaidBlock(dispatch.JobChart()) + `
+## The state of a task
+
+The states of a task at the leader of its job (` + "`dispatch/task.chart.toml`" + `), while
+the job has not ended. The runs that may be running are known apart from these states:
+a task that is done, or whose job has ended, may have some, and each is stopped until
+its end is confirmed.
+
+` + mermaidBlock(dispatch.TaskChart())
 }
 
 // mermaidBlock returns the chart as a fenced code block in Markdown.
@@ -58,5 +73,5 @@
 	is.Equal(string(text), page()) // go test ./chart -update regenerates it
 	files, err := filepath.Glob("../*/*.chart.toml")
 	is.NoErr(err)
-	is.Equal(len(files), 2) // the page shows the chart of each file
+	is.Equal(len(files), 4) // the page shows the chart of each file
 }
--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -57,13 +57,11 @@
 	j.receivers[from] = zone
 	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
 	j.forwardedAgain(job)
-	if !j.suspendedAt.IsZero() {
+	if j.apply(jobForwarded) {
 		j.suspendedAt, j.forwardRequestedAt = time.Time{}, time.Time{}
 		d.effects.decide("job-resumed", j.ID, "receiver", from)
 	}
-	if len(j.waiting) > 0 {
-		d.queue.add(j)
-	}
+	d.queue.add(j)
 }
 
 // later returns the later of a and b.
@@ -110,60 +108,68 @@
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if w := d.running[t.id]; w != nil {
-				d.adopt(w, t)
+				d.adopt(now, w, t)
 			}
 		}
 	}
 	for _, w := range d.ledWorkers() {
 		for _, f := range w.unclaimedEnds {
-			if f.Task.Job == j.ID && f.Result == RunSucceeded {
-				d.taskSucceeded(now, j, f.Task)
+			if t := j.task(f.Task); f.Task.Job == j.ID && f.Result == RunSucceeded && t != nil {
+				d.taskSucceeded(now, t)
 			}
 		}
 	}
 }
 
 // adopt assigns the run of t on w to t, unless the run is being stopped or t has
-// another run.
-func (d *dispatcher) adopt(w *worker, t *task) {
+// another run. If t is done, the run is stopped.
+func (d *dispatcher) adopt(now time.Time, w *worker, t *task) {
 	r := w.runs[t.id]
 	if r == nil {
 		return
 	}
 	t.number = max(t.number, r.number)
-	if r.state == runStopping {
+	switch {
+	case r.state == runStopping || r.task != nil:
 		return
-	}
-	if t.state != taskWaiting || r.task != nil {
+	case t.state == taskDone:
+		d.stopUnneeded(now, w, r)
+		return
+	case !t.apply(taskStarts):
 		return
 	}
 	w.adopt(r, t)
 	d.pollDue = append(d.pollDue, w)
-	t.job.markPlaced(t)
 	d.effects.decide("run-adopted", t.job.ID, "worker", w.ID, "step", t.id.Step, "task", t.id.Index, "run", r.number)
 }
 
-// taskSucceeded records the end of a task, and ends its job if it was the last one.
-func (d *dispatcher) taskSucceeded(now time.Time, j *activeJob, id TaskID) {
-	if id.Step >= len(j.steps) || id.Index >= len(j.steps[id.Step]) {
+// taskSucceeded records the success of t, of which other runs may be running, and ends its job
+// if it was the last task.
+func (d *dispatcher) taskSucceeded(now time.Time, t *task) {
+	if !t.apply(taskSucceeds) {
 		return
 	}
-	if j.finish(j.steps[id.Step][id.Index]) {
+	for _, w := range d.workersRunning(t.id) {
+		d.stopUnneeded(now, w, w.runs[t.id])
+	}
+	j := t.job
+	if j.remaining[t.id.Step] == 0 {
+		j.unblock()
+	}
+	if j.totalRemaining == 0 {
 		d.endJob(now, j, End{ID: j.ID, State: Completed})
 		return
 	}
-	if len(j.waiting) > 0 {
-		d.queue.add(j)
-	}
+	d.queue.add(j)
 }
 
-// endJob ends a job: it reports the end to the receivers of the job, and stops its
-// runs.
+// endJob ends a job, unless it has ended: it reports the end to the receivers of the job, and
+// stops its runs.
 func (d *dispatcher) endJob(now time.Time, j *activeJob, end End) {
-	if d.jobs[j.ID] != j {
+	placed := j.placed
+	if !d.dropJob(now, j) {
 		return
 	}
-	d.dropJob(now, j)
 	if end.State != Redirected {
 		d.sizes.record(j, end.State == Completed)
 	}
@@ -181,49 +187,55 @@
 		return
 	}
 	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
-		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed,
+		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", placed,
 		"objective", j.objective.Sub(j.Arrived), "start", j.forecast.start, "ahead", j.forecast.ahead,
 		"capacity", j.forecast.capacity, "retry-after", end.RetryAfter)
 }
 
-// dropJob removes a job and stops its runs.
-func (d *dispatcher) dropJob(now time.Time, j *activeJob) {
+// dropJob ends a job without a report to its receivers, and stops its runs. It reports false if
+// the job had ended before.
+func (d *dispatcher) dropJob(now time.Time, j *activeJob) bool {
+	if !j.apply(jobEnds) {
+		return false
+	}
 	delete(d.jobs, j.ID)
 	j.queued = false
-	d.stopRuns(now, j, false)
+	d.stopRuns(now, j)
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if t.run != nil {
+				t.run.detach()
+			}
+		}
+	}
+	return true
 }
 
-// stopRuns stops the runs of j. If keep is set, their tasks wait again once the runs
-// have ended.
-func (d *dispatcher) stopRuns(now time.Time, j *activeJob, keep bool) {
-	if j.placed == 0 {
-		return
-	}
+// stopRuns stops all runs of the tasks of j, whatever the states of the tasks.
+func (d *dispatcher) stopRuns(now time.Time, j *activeJob) {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
-			if w := d.running[t.id]; w != nil {
-				d.stopRunOf(now, w, t, keep)
-			}
-			for _, w := range slices.Clone(d.duplicates[t.id]) {
-				d.stopRunOf(now, w, t, keep)
+			for _, w := range d.workersRunning(t.id) {
+				d.stopRun(now, w, w.runs[t.id])
 			}
 		}
 	}
 }
 
-// stopRunOf stops the run of t on w, if t needs it. If keep is set, t waits again once the
-// run has ended.
-func (d *dispatcher) stopRunOf(now time.Time, w *worker, t *task, keep bool) {
-	r := w.runs[t.id]
-	if r == nil || r.task != t {
-		return
-	}
-	d.stop(now, w, r)
-	if !keep {
-		r.task = nil
+// stopRun stops r, unless it is being stopped. A task that waits for r waits until it ends.
+func (d *dispatcher) stopRun(now time.Time, w *worker, r *run) {
+	if r.state != runStopping {
+		d.stop(now, w, r)
 	}
 }
 
+// stopUnneeded stops r, whose task is done.
+func (d *dispatcher) stopUnneeded(now time.Time, w *worker, r *run) {
+	d.effects.decide("run-unneeded", r.id.Job, "worker", w.ID, "step", r.id.Step, "task", r.id.Index, "run", r.number)
+	d.stopRun(now, w, r)
+	r.detach()
+}
+
 // withdraw removes from as a receiver of a job, and drops a job without receivers.
 func (d *dispatcher) withdraw(now time.Time, from netip.AddrPort, id string) {
 	j := d.jobs[id]
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -231,6 +231,9 @@
 // reset discards all jobs and runs, because this instance may not send commands any
 // more.
 func (d *dispatcher) reset() {
+	for _, j := range d.jobs {
+		j.apply(jobEnds)
+	}
 	d.jobs = make(map[string]*activeJob)
 	d.queue = queue{}
 	d.ends = make(map[string]*keptEnd)
--- a/dispatch/fake_worker_test.go
+++ b/dispatch/fake_worker_test.go
@@ -128,8 +128,8 @@
 	}
 	w.simulation.checkStart(w, s)
 	r := &fakeRun{number: s.Number, started: w.simulation.now, result: dispatch.RunSucceeded}
-	r.ends = w.simulation.now.Add(w.simulation.runTime())
-	if w.simulation.random.IntN(50) == 0 {
+	r.ends = w.simulation.now.Add(w.simulation.runTimeOf(s.Task))
+	if !w.simulation.sound && w.simulation.random.IntN(50) == 0 {
 		r.result = dispatch.RunFailed
 	}
 	if w.failing {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/netip"
 	"time"
+
+	"github.com/amaranthwell/amaranthwell/chart"
 )
 
 // A Job is a caller's request: steps of identical tasks that are answered as a whole.
@@ -163,23 +165,14 @@
 	Step, Index int
 }
 
-// taskState is the state of a task at the leader of its job.
-type taskState uint8
-
-const (
-	// taskBlocked means that the task waits for earlier steps.
-	taskBlocked taskState = iota
-	taskWaiting
-	// taskPlaced means that the task has a run that may be running.
-	taskPlaced
-	taskDone
-)
-
 // task is a task of an active job.
 type task struct {
-	job   *activeJob
-	id    TaskID
-	state taskState
+	job *activeJob
+	id  TaskID
+	// state is a state of taskChart. Only apply changes it.
+	state chart.State
+	// run is the run for which the task waits. It is set while the task is placed.
+	run *run
 	// number is the number of the latest run.
 	number   int
 	failures int
@@ -190,6 +183,8 @@
 // activeJob is the state of a job at its leader.
 type activeJob struct {
 	Job
+	// state is a state of jobChart. Only apply changes it.
+	state chart.State
 	// receivers are the receivers of the job, each with the zone to whose leader it has
 	// forwarded the job.
 	receivers map[netip.AddrPort]string
@@ -211,15 +206,15 @@
 	// runTimeSum is the sum of their run times at speed 1.
 	succeeded  int
 	runTimeSum time.Duration
-	// placed counts the tasks that have a run.
+	// placed counts the placed tasks. Further runs of tasks may be running: see
+	// dispatcher.running.
 	placed int
 	// waiting are the tasks that may be started, in the order in which they began to
 	// wait.
 	waiting []*task
 	// started is set once a task may have been started.
 	started bool
-	// suspendedAt is when the last receiver timed out, or zero. The runs of a
-	// suspended job are stopped and no task of it is started.
+	// suspendedAt is when the last receiver of a suspended job timed out.
 	suspendedAt time.Time
 	// forwardRequestedAt is when a reconnected receiver was last asked to forward the
 	// job again.
@@ -317,10 +312,7 @@
 			continue
 		}
 		for _, t := range j.steps[s] {
-			if t.state == taskBlocked {
-				t.state = taskWaiting
-				j.waiting = append(j.waiting, t)
-			}
+			t.apply(taskUnblocked)
 		}
 	}
 }
@@ -335,33 +327,12 @@
 	return true
 }
 
-// requeue makes a placed task wait again.
-func (j *activeJob) requeue(t *task) {
-	if t.state != taskPlaced {
-		return
-	}
-	j.placed--
-	t.state = taskWaiting
-	j.waiting = append(j.waiting, t)
-}
-
-// finish marks a task as done and reports whether the job has completed.
-func (j *activeJob) finish(t *task) bool {
-	switch t.state {
-	case taskDone:
-		return false
-	case taskPlaced:
-		j.placed--
-	case taskWaiting:
-		j.removeWaiting(t)
+// task returns a task of j, or nil if there is none with this ID.
+func (j *activeJob) task(id TaskID) *task {
+	if id.Step >= len(j.steps) || id.Index >= len(j.steps[id.Step]) {
+		return nil
 	}
-	t.state = taskDone
-	j.remaining[t.id.Step]--
-	j.totalRemaining--
-	if j.remaining[t.id.Step] == 0 {
-		j.unblock()
-	}
-	return j.totalRemaining == 0
+	return j.steps[id.Step][id.Index]
 }
 
 // removeWaiting removes a task from the waiting tasks.
@@ -374,14 +345,6 @@
 	}
 }
 
-// markPlaced marks a task as having a run.
-func (j *activeJob) markPlaced(t *task) {
-	j.removeWaiting(t)
-	t.state = taskPlaced
-	j.placed++
-	j.started = true
-}
-
 // compare orders tasks by job, step and index.
 func (id TaskID) compare(other TaskID) int {
 	return cmp.Or(cmp.Compare(id.Job, other.Job), cmp.Compare(id.Step, other.Step), cmp.Compare(id.Index, other.Index))
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -79,7 +79,7 @@
 
 // startable reports whether tasks of j may be started at now.
 func (d *dispatcher) startable(now time.Time, j *activeJob) bool {
-	if !j.queued || !j.suspendedAt.IsZero() || now.Sub(d.jobConfirmedAt(now, j)) > d.runConfirmation-minStartLease {
+	if !j.queued || j.state != jobActive || now.Sub(d.jobConfirmedAt(now, j)) > d.runConfirmation-minStartLease {
 		return false
 	}
 	return j.EarlierLeaders == 0 || !now.Before(j.EarlierRunsEndBy) || d.allPolled(j.Pool)
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -200,7 +200,9 @@
 			continue
 		}
 		if j := d.jobs[f.Task.Job]; j != nil && f.Result == RunSucceeded && r == nil {
-			d.taskSucceeded(now, j, f.Task)
+			if t := j.task(f.Task); t != nil {
+				d.taskSucceeded(now, t)
+			}
 		}
 	}
 	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.shard]) >= orphanGracePeriod {
@@ -243,17 +245,19 @@
 	r := &run{id: p.Task, number: p.Number, orphaned: true, since: now, progressAt: now, percent: p.Percent, state: runStarted}
 	if other := d.running[p.Task]; other != nil {
 		// The task may be running on another worker, too. Both runs are stopped.
-		d.stopTask(now, other, p.Task)
+		d.stopRun(now, other, other.runs[p.Task])
 		d.addRun(w, r)
 		d.stop(now, w, r)
 		return
 	}
 	d.addRun(w, r)
 	j := d.jobs[p.Task.Job]
-	if j == nil || p.Task.Step >= len(j.steps) || p.Task.Index >= len(j.steps[p.Task.Step]) {
+	if j == nil {
 		return
 	}
-	d.adopt(w, j.steps[p.Task.Step][p.Task.Index])
+	if t := j.task(p.Task); t != nil {
+		d.adopt(now, w, t)
+	}
 }
 
 // runNumberMismatch handles a run that has another number than the known run of its
@@ -268,13 +272,6 @@
 	d.effects.Stops = append(d.effects.Stops, Stop{Command: d.commandTo(now, w, false), Task: p.Task, Number: p.Number})
 }
 
-// stopTask stops the run of a task on w, unless it is being stopped.
-func (d *dispatcher) stopTask(now time.Time, w *worker, id TaskID) {
-	if r := w.runs[id]; r != nil && r.state != runStopping {
-		d.stop(now, w, r)
-	}
-}
-
 // recordProgress handles a report that r is running. It stops a run that has stalled.
 func (d *dispatcher) recordProgress(now time.Time, w *worker, r *run, percent int) {
 	d.startConfirmed(now, w, r)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -18,9 +18,9 @@
 	stale bool
 }
 
-// add appends j to the queue, unless it is queued.
+// add appends j to the queue if it has waiting tasks, unless it is queued or has ended.
 func (q *queue) add(j *activeJob) {
-	if j.queued {
+	if j.queued || j.state == jobEnded || len(j.waiting) == 0 {
 		return
 	}
 	j.queued = true
--- a/dispatch/random_faults_test.go
+++ b/dispatch/random_faults_test.go
@@ -44,11 +44,22 @@
 			return
 		}
 		sim.submit(sim.randomZone())
-		sim.after(time.Duration(sim.random.Int64N(int64(2*arrivalGap))), next)
+		sim.after(time.Duration(sim.random.Int64N(int64(2*sim.arrivalGap()))), next)
 	}
 	sim.after(0, next)
 }
 
+// arrivalGap returns the mean time between two jobs.
+func (sim *simulation) arrivalGap() time.Duration {
+	if sim.stepped && sim.faulty() {
+		return stepsArrivalGap
+	}
+	return arrivalGap
+}
+
+// faulty reports whether it is the time of faults.
+func (sim *simulation) faulty() bool { return sim.now.Sub(simulationStart) < warmUp+faultTime }
+
 // randomZone returns the zone of the next job. If each zone has a leader of its own, half
 // of the jobs arrive in the first one: more than its workers can run.
 func (sim *simulation) randomZone() int {
@@ -74,6 +85,10 @@
 		sim.release(lasts)
 		return
 	}
+	if sim.stepped && sim.random.IntN(2) == 0 {
+		sim.cutWorkers()
+		return
+	}
 	kind := sim.random.IntN(kinds)
 	sim.note("fault %d at %v, %s, for %v", kind, n.address, f.entry.ID, lasts)
 	switch kind {
@@ -258,7 +273,11 @@
 		sim.after(faultTime, func() { sim.trouble(0, 0) })
 	}
 	sim.submitJobs(faultTime)
-	for range 3 + sim.random.IntN(6) {
+	faults := 3 + sim.random.IntN(6)
+	if sim.stepped {
+		faults *= 2
+	}
+	for range faults {
 		sim.after(time.Duration(sim.random.Int64N(int64(faultTime))), sim.injectFault)
 	}
 	sim.run(faultTime + recoveryTime)
@@ -284,7 +303,7 @@
 		}
 	}
 	is.Equal(sim.violations, nil)
-	if sim.apart {
+	if sim.apart && !sim.stepped {
 		is.True(sim.redirected > 0) // jobs were redirected
 		is.True(sim.acceptedFromOthers > 0)
 	}
--- a/dispatch/redirects.go
+++ b/dispatch/redirects.go
@@ -153,7 +153,7 @@
 // any more.
 func (d *dispatcher) redirectable(now time.Time, j *activeJob) bool {
 	earlierRuns := j.EarlierLeaders > 0 && (j.EarlierRunsEndBy.IsZero() || now.Before(j.EarlierRunsEndBy))
-	if j.Zone != "" || earlierRuns || j.started || !j.suspendedAt.IsZero() || len(j.waiting) == 0 {
+	if j.Zone != "" || earlierRuns || j.started || j.state != jobActive || len(j.waiting) == 0 {
 		return false
 	}
 	for s, tasks := range j.steps {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -53,19 +53,31 @@
 	}
 }
 
-// start issues a command to run t on w.
+// workersRunning returns the workers on which a task may be running, whatever its state and
+// that of its job.
+func (d *dispatcher) workersRunning(id TaskID) []*worker {
+	if d.running[id] == nil {
+		return nil
+	}
+	return append([]*worker{d.running[id]}, d.duplicates[id]...)
+}
+
+// start issues a command to run t, which waits, on w.
 func (d *dispatcher) start(now time.Time, w *worker, t *task) {
-	t.job.markPlaced(t)
+	if !t.apply(taskStarts) {
+		return
+	}
 	t.number++
-	d.addRun(w, &run{
+	r := &run{
 		id:         t.id,
 		token:      d.token(w),
 		number:     t.number,
-		task:       t,
 		needs:      t.job.Steps[t.id.Step].Needs,
 		since:      now,
 		progressAt: now,
-	})
+	}
+	r.attach(t)
+	d.addRun(w, r)
 	d.hedgeBudget.earn()
 	d.effects.Starts = append(d.effects.Starts, Start{
 		Command: d.commandTo(now, w, true),
@@ -107,20 +119,26 @@
 	if t == nil {
 		return
 	}
-	j := t.job
+	r.detach()
 	switch result {
 	case RunSucceeded:
 		if measured {
 			// The commands and the report take time, too.
-			d.recordRunTime(w, r, runTime+w.trip)
+			d.recordRunTime(w, t, runTime+w.trip)
 		}
 		w.failuresInRow = 0
-		d.taskSucceeded(now, j, t.id)
+		d.taskSucceeded(now, t)
 	case RunFailed:
 		d.runFailed(now, w, t)
 	default:
-		j.requeue(t)
-		d.queue.add(j)
+		d.requeue(t)
+	}
+}
+
+// requeue makes t, whose run has ended without success, wait for another one.
+func (d *dispatcher) requeue(t *task) {
+	if t.apply(taskRunLost) {
+		d.queue.add(t.job)
 	}
 }
 
@@ -138,8 +156,7 @@
 		d.endJob(now, j, End{ID: j.ID, State: Failed, Reason: "attempts"})
 		return
 	}
-	j.requeue(t)
-	d.queue.add(j)
+	d.requeue(t)
 }
 
 // recordFailure counts a failure of w and excludes w for a time after failures in a
@@ -172,10 +189,10 @@
 	return n
 }
 
-// recordRunTime updates the estimates with the run time of a run that has succeeded.
-func (d *dispatcher) recordRunTime(w *worker, r *run, runTime time.Duration) {
-	j := r.task.job
-	step := j.Steps[r.id.Step]
+// recordRunTime updates the estimates with the run time of a run of t that has succeeded.
+func (d *dispatcher) recordRunTime(w *worker, t *task, runTime time.Duration) {
+	j := t.job
+	step := j.Steps[t.id.Step]
 	atSpeedOne := time.Duration(float64(runTime) * w.speed)
 	expected, weight := d.estimates.expectedRunTime(j.Route, step.Estimate), firstSpeedWeight
 	if j.succeeded > 0 {
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthwell/amaranthwell/dispatch"
+	"github.com/amaranthwell/amaranthwell/peer"
 )
 
 // simulatedInstance is a machine that runs an instance, or nil while the process is
@@ -28,6 +29,9 @@
 	// arrivals are the times at which the last envelope to each peer since the last reset
 	// of the link arrives there.
 	arrivals map[netip.AddrPort]time.Time
+	// ended are the jobs whose ends the instance has reported to other instances and that
+	// were not forwarded to it since.
+	ended map[string]bool
 	// refused is set while the store refuses to answer the instance about drained zones,
 	// and couldNotLearnAt is when the instance was last unable to learn of them.
 	refused         bool
@@ -43,6 +47,7 @@
 	n.callers = make(map[dispatch.CallerID]*simulatedJob)
 	n.lossy = make(map[netip.AddrPort]bool)
 	n.arrivals = make(map[netip.AddrPort]time.Time)
+	n.ended = make(map[string]bool)
 	n.instance = dispatch.NewInstance(n.simulation.now, dispatch.Config{
 		Self:        n.address,
 		Zone:        simulationZones[n.zone],
@@ -145,6 +150,10 @@
 		if n.simulation.short {
 			job.Stretch, job.Slack, job.Steps[0].Estimate = shortStretch, shortSlack, shortRunTime
 		}
+		if shape := j.shape; shape != nil {
+			job.Steps, job.Stretch, job.Slack, job.CallerDeadline = shape.steps, shape.stretch, shape.slack, now.Add(shape.patience)
+		}
+		delete(n.ended, job.ID)
 		n.instance.Submit(now, caller, job)
 	})
 }
@@ -166,6 +175,9 @@
 	}
 	for _, s := range e.Starts {
 		n.checkDrained(s)
+		if n.ended[s.Task.Job] {
+			n.simulation.violate("%v starts %v after it has reported the end of the job", n.address, s.Task)
+		}
 		n.sendCommand(incarnation, s.Command, func(w *fakeWorker) dispatch.Outcome { return w.start(s) },
 			func(o dispatch.Outcome, clock time.Duration) { n.instance.StartDone(n.simulation.now, s, o, clock) })
 	}
@@ -208,6 +220,11 @@
 	if len(s.Envelope.OperatorTables) > 0 {
 		n.simulation.tablesSent[s.To]++
 	}
+	for _, end := range s.Envelope.JobEnds {
+		if end.State != peer.JobState_JOB_STATE_UNKNOWN {
+			n.ended[end.Id] = true
+		}
+	}
 	to := n.simulation.instance(s.To)
 	delay, arrives := n.simulation.transit(n.name(), to.name())
 	if !arrives || to.instance == nil {
@@ -230,7 +247,12 @@
 	}
 	n.arrivals[s.To] = arrival
 	n.simulation.at(arrival, func() {
-		to.do(incarnation, func() { to.instance.Receive(n.simulation.now, from, env) })
+		to.do(incarnation, func() {
+			for _, job := range env.Jobs {
+				delete(to.ended, job.Id)
+			}
+			to.instance.Receive(n.simulation.now, from, env)
+		})
 	})
 }
 
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -80,6 +80,8 @@
 	counts  struct{ starts, stops, polls, late int }
 	jobs    map[string]*simulatedJob
 	nextJob int
+	// starts counts the starts of tasks of each job.
+	starts map[string]int
 	// tablesSent counts the configurations that were sent to each instance.
 	tablesSent map[netip.AddrPort]int
 	// drains are the zones that are drained.
@@ -96,10 +98,23 @@
 	trace []string
 }
 
+// jobShape describes a job other than the usual one of one step.
+type jobShape struct {
+	steps []dispatch.Step
+	// runTimes are the run times of the tasks of each step.
+	runTimes []time.Duration
+	stretch  float64
+	slack    time.Duration
+	// patience is the time for which the caller waits.
+	patience time.Duration
+}
+
 // simulatedJob is a job as its caller knows it.
 type simulatedJob struct {
-	id       string
-	tasks    int
+	id    string
+	tasks int
+	// shape is nil for the usual job, with one step of tasks.
+	shape    *jobShape
 	zone     int
 	tries    int
 	answered []dispatch.State
@@ -121,6 +136,11 @@
 	// short is set if all jobs have eight tasks of shortRunTime and an objective of about
 	// twice that time.
 	short bool
+	// sound is set if no run fails by chance.
+	sound bool
+	// stepped is set, with apart, if the jobs have several steps of long tasks and callers that
+	// wait for longer than the jobs are worth. Faults then cut workers off for seconds.
+	stepped bool
 	// shards is set, with apart, if each zone has twice as many instances and workers and is
 	// divided into two shards. Faults then also change the number of shards at single
 	// instances.
@@ -162,6 +182,7 @@
 		random:           rand.New(rand.NewPCG(seed, 1)),
 		disconnected:     make(map[[2]string]bool),
 		jobs:             make(map[string]*simulatedJob),
+		starts:           make(map[string]int),
 		tablesSent:       make(map[netip.AddrPort]int),
 		redirectedTo:     make(map[string]int),
 		drains:           drainStore{since: make(map[string]time.Time)},
@@ -230,6 +251,7 @@
 // checkStart checks that no other run of the task is running on a worker.
 func (sim *simulation) checkStart(on *fakeWorker, s dispatch.Start) {
 	sim.note("start of %v run %d on %s", s.Task, s.Number, on.entry.ID)
+	sim.starts[s.Task.Job]++
 	for _, other := range sim.workers {
 		if other.down {
 			continue
@@ -247,11 +269,20 @@
 	}
 }
 
+// runTimeOf returns the run time of a task that starts now.
+func (sim *simulation) runTimeOf(id dispatch.TaskID) time.Duration {
+	if j := sim.jobs[id.Job]; j != nil && j.shape != nil {
+		return j.shape.runTimes[id.Step]
+	}
+	return sim.runTime()
+}
+
+// runTime returns the run time of a task of the usual job.
 func (sim *simulation) runTime() time.Duration {
 	if sim.short {
 		return shortRunTime
 	}
-	if sim.apart && sim.now.Sub(simulationStart) < warmUp+faultTime && sim.random.IntN(8) == 0 {
+	if sim.apart && sim.faulty() && sim.random.IntN(8) == 0 {
 		return time.Duration(1000+sim.random.IntN(2600)) * time.Millisecond
 	}
 	return time.Duration(50+sim.random.IntN(900)) * time.Millisecond
@@ -274,6 +305,18 @@
 	if sim.short {
 		j.tasks = 8
 	}
+	if sim.stepped && sim.faulty() {
+		j.shape = sim.randomShape()
+	}
+	sim.jobs[j.id] = j
+	sim.try(j)
+	return j
+}
+
+// submitShaped submits a new job of a shape to an instance of a zone.
+func (sim *simulation) submitShaped(zone int, shape *jobShape) *simulatedJob {
+	sim.nextJob++
+	j := &simulatedJob{id: fmt.Sprintf("%016x", sim.nextJob), shape: shape, zone: zone, arrived: sim.now}
 	sim.jobs[j.id] = j
 	sim.try(j)
 	return j
@@ -302,9 +345,12 @@
 	live[sim.random.IntN(len(live))].submit(j)
 }
 
+// maxTries is the number of times that a caller submits a job.
+const maxTries = 4
+
 // resubmit submits a job again after a while, as a caller does that got no answer.
 func (sim *simulation) resubmit(j *simulatedJob) {
-	if j.tries < 4 && j.end == 0 {
+	if j.tries < maxTries && j.end == 0 {
 		sim.after(resubmitAfter, func() { sim.try(j) })
 	}
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -46,15 +46,15 @@
 			// The receiver has answered its callers and withdraws the job, unless the
 			// withdrawal is lost.
 			d.dropExpired(now, j)
-		case !silent && !j.suspendedAt.IsZero() && now.Sub(j.forwardRequestedAt) > forwardRequestInterval:
+		case !silent && j.state == jobSuspended && now.Sub(j.forwardRequestedAt) > forwardRequestInterval:
 			j.forwardRequestedAt = now
 			for _, addr := range live {
 				d.reportEnd(now, addr, End{ID: id, State: ForwardAgain})
 			}
-		case silent && j.suspendedAt.IsZero():
+		case silent && j.apply(jobReceiversLost):
 			j.suspendedAt = now
 			d.effects.decide("job-suspended", id, "placed", j.placed)
-			d.stopRuns(now, j, true)
+			d.stopRuns(now, j)
 		case silent && now.Sub(j.suspendedAt) > suspendedJobTimeout:
 			d.effects.decide("job-dropped", id)
 			d.dropJob(now, j)
--- a/dispatch/uncertain.go
+++ b/dispatch/uncertain.go
@@ -272,7 +272,7 @@
 	}
 	over := w.leaseOver()
 	for _, r := range w.sortedRuns() {
-		if r.task == nil || r.task.state == taskDone {
+		if r.task == nil {
 			continue
 		}
 		j := r.task.job
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -92,7 +92,7 @@
 type run struct {
 	id     TaskID
 	number int
-	// task is the task that needs the run, or nil if no job of this leader does.
+	// task is the task that waits for the run, or nil if none does: see attach.
 	task  *task
 	needs Resources
 	// orphaned is set if an earlier leader started the run and this one has not
@@ -278,12 +278,22 @@
 		w.orphans--
 	}
 	r.orphaned, r.adopted = false, true
-	r.task = t
+	r.attach(t)
 	w.used = w.used.minus(r.needs)
 	r.needs = t.job.Steps[t.id.Step].Needs
 	w.used = w.used.plus(r.needs)
 }
 
+// attach makes t wait for r.
+func (r *run) attach(t *task) { r.task, t.run = t, r }
+
+// detach makes the task that waits for r, if there is one, wait for it no longer.
+func (r *run) detach() {
+	if r.task != nil {
+		r.task.run, r.task = nil, nil
+	}
+}
+
 // sortedRuns returns the runs in the order of their tasks.
 func (w *worker) sortedRuns() []*run {
 	all := make([]*run, 0, len(w.runs))
