dispatch: a job that ends as it is forwarded is answered

What callers see: a job whose tasks have all ended under a leader that has died is not answered until its deadline, if the next leader reads the ends before the job is forwarded to it.

Change: a job is recorded with its receiver before the ends and the runs that an earlier leader left are adopted, which is the last step. Ends come before runs, so that a task that is done adopts no second run: that run is stopped. A preview, which is no job, adopts nothing any more.

TestAdoptedEndsEndAForwardedJob failed before: no end was reported.

--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -41,7 +41,8 @@
 		return
 	}
 	j := d.jobs[job.ID]
-	if j == nil {
+	isNew := j == nil
+	if isNew {
 		if len(d.jobs) >= maxJobs {
 			d.reportEnd(now, from, job.notServed("too-many-jobs"))
 			return
@@ -61,6 +62,9 @@
 		j.suspendedAt, j.forwardRequestedAt = time.Time{}, time.Time{}
 		d.effects.decide("job-resumed", j.ID, "receiver", from)
 	}
+	if isNew {
+		d.adoptRuns(now, j)
+	}
 	d.queue.add(j)
 }
 
@@ -98,20 +102,12 @@
 	d.demand.add(now, j)
 	capacity := d.overloadedPools(now)[j.Pool]
 	j.scarce, j.displaced = d.scarceFor(j, capacity), d.isDisplaced(j, capacity)
-	d.adoptRuns(now, j)
 	return j
 }
 
-// adoptRuns adopts the runs and the ends of j's tasks that an earlier leader has
-// started.
+// adoptRuns adopts the ends and the runs of j's tasks that an earlier leader has
+// started. The job may end thereby.
 func (d *dispatcher) adoptRuns(now time.Time, j *activeJob) {
-	for _, tasks := range j.steps {
-		for _, t := range tasks {
-			if w := d.running[t.id]; w != nil {
-				d.adopt(now, w, t)
-			}
-		}
-	}
 	for _, w := range d.ledWorkers() {
 		for _, f := range w.unclaimedEnds {
 			if t := j.task(f.Task); f.Task.Job == j.ID && f.Result == RunSucceeded && t != nil {
@@ -119,6 +115,13 @@
 			}
 		}
 	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if w := d.running[t.id]; w != nil {
+				d.adopt(now, w, t)
+			}
+		}
+	}
 }
 
 // adopt assigns the run of t on w to t, unless the run is being stopped or t has
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -297,3 +297,23 @@
 	}
 	is.True(len(s.effects.Stops) > 0)
 }
+
+// TestAdoptedEndsEndAForwardedJob guards against a job that ends unnoticed: all its tasks have
+// ended under an earlier leader, and the next one reads their ends before the job is forwarded
+// to it. The receiver must get the end.
+func TestAdoptedEndsEndAForwardedJob(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	task := dispatch.TaskID{Job: abandonedID}
+	s.report.Finished = []dispatch.FinishedTask{{Sequence: 1, Task: task, Number: 1, Result: dispatch.RunSucceeded}}
+	s.lead()
+	s.forward(forwardedJob(abandonedID))
+	s.take()
+	var ends []*peer.JobEnd
+	for _, send := range s.effects.Sends {
+		ends = append(ends, send.Envelope.JobEnds...)
+	}
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].State, peer.JobState_JOB_STATE_COMPLETED)
+	is.Equal(len(s.effects.Starts), 0)
+}
