dispatch: a success counts, whichever run of the task it ends

What callers see: work that is done twice, one run after the other, and a later answer.

Cause, found by reading on a path related to the ended jobs: the success of a run was used only while a task waited for that very run. If the job had been withdrawn and forwarded again, the run that was to be stopped had no task, and its success was acknowledged and lost. The same held for the end of a run beside another one of its task on the same worker.

Change: such a success counts for the task of the job, if this leader has the job; what else runs of the task is stopped.

--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -195,14 +195,11 @@
 		if (!known || r.orphaned) && now.Sub(d.takenOver[w.shard]) < orphanGracePeriod {
 			w.unclaimedEnds = append(w.unclaimedEnds, f)
 		}
-		if known {
+		switch {
+		case known:
 			d.runEnded(now, w, r, f.Result)
-			continue
-		}
-		if j := d.jobs[f.Task.Job]; j != nil && f.Result == RunSucceeded && r == nil {
-			if t := j.task(f.Task); t != nil {
-				d.taskSucceeded(now, t)
-			}
+		case f.Result == RunSucceeded:
+			d.unneededRunSucceeded(now, f.Task)
 		}
 	}
 	if len(w.unclaimedEnds) > 0 && now.Sub(d.takenOver[w.shard]) >= orphanGracePeriod {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -117,6 +117,9 @@
 	}
 	t := r.task
 	if t == nil {
+		if result == RunSucceeded {
+			d.unneededRunSucceeded(now, r.id)
+		}
 		return
 	}
 	r.detach()
@@ -135,6 +138,19 @@
 	}
 }
 
+// unneededRunSucceeded handles the success of a run for which no task of this leader waited
+// when it ended: the job may have been submitted again, or an earlier leader may have started
+// the run.
+func (d *dispatcher) unneededRunSucceeded(now time.Time, id TaskID) {
+	j := d.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	if t := j.task(id); t != nil {
+		d.taskSucceeded(now, t)
+	}
+}
+
 // requeue makes t, whose run has ended without success, wait for another one.
 func (d *dispatcher) requeue(t *task) {
 	if t.apply(taskRunLost) {
