--- a/dispatch/ended_jobs_test.go
+++ b/dispatch/ended_jobs_test.go
@@ -155,7 +155,6 @@
 			sim.run(laterStarts)
 			is.Equal(sim.starts[j.id], starts) // no start of a job that has ended
 			is.Equal(sim.violations, nil)
-
 		})
 	}
 }
