--- a/dispatch/random_steps_test.go
+++ b/dispatch/random_steps_test.go
@@ -58,11 +58,20 @@
 // TestRandomFaultsWithJobsInSteps runs randomized faults, of which many cut workers off for
 // seconds, with jobs that take long and whose callers submit them again to any zone. Runs end
 // unnoticed and run a second time, while their jobs end in all ways: nothing of a job that has
-// ended may run beside its next submission.
+// ended may run beside its next submission. A third as many seeds also change the number of
+// shards of each zone, or restart instances in turn, so that leaders hand jobs over.
 func TestRandomFaultsWithJobsInSteps(t *testing.T) {
-	for seed := range seeds() {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			runRandomFaults(t, newSimulationOf(seed, simulationConfig{apart: true, stepped: true}))
-		})
+	for _, test := range []struct {
+		name  string
+		seeds uint64
+		cfg   simulationConfig
+	}{
+		{"", seeds(), simulationConfig{apart: true, stepped: true}},
+		{"shards-", seeds() / 3, simulationConfig{apart: true, stepped: true, shards: true}},
+		{"releases-", seeds() / 3, simulationConfig{apart: true, stepped: true, uneven: true}},
+	} {
+		for seed := range test.seeds {
+			t.Run(test.name+strconv.FormatUint(seed, 10), func(t *testing.T) { runRandomFaults(t, newSimulationOf(seed, test.cfg)) })
+		}
 	}
 }
