--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -106,7 +106,7 @@
 }
 
 // adoptRuns adopts the ends and the runs of j's tasks that an earlier leader has
-// started. The job may end thereby.
+// started. j may end.
 func (d *dispatcher) adoptRuns(now time.Time, j *activeJob) {
 	for _, w := range d.ledWorkers() {
 		for _, f := range w.unclaimedEnds {
@@ -138,7 +138,8 @@
 	case t.state == taskDone:
 		d.stopUnneeded(now, w, r)
 		return
-	case !t.apply(taskStarts):
+	}
+	if !t.apply(taskStarts) {
 		return
 	}
 	w.adopt(r, t)
@@ -169,7 +170,6 @@
 // endJob ends a job, unless it has ended: it reports the end to the receivers of the job, and
 // stops its runs.
 func (d *dispatcher) endJob(now time.Time, j *activeJob, end End) {
-	placed := j.placed
 	if !d.dropJob(now, j) {
 		return
 	}
@@ -190,7 +190,7 @@
 		return
 	}
 	d.effects.decide("job-"+end.State.String(), j.ID, "route", j.Route, "reason", end.Reason, "age", now.Sub(j.Arrived),
-		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", placed,
+		"expected", j.chainTime, "queued", len(d.queue.jobs), "left", j.totalRemaining, "placed", j.placed,
 		"objective", j.objective.Sub(j.Arrived), "start", j.forecast.start, "ahead", j.forecast.ahead,
 		"capacity", j.forecast.capacity, "retry-after", end.RetryAfter)
 }
@@ -204,6 +204,12 @@
 	delete(d.jobs, j.ID)
 	j.queued = false
 	d.stopRuns(now, j)
+	j.detachRuns()
+	return true
+}
+
+// detachRuns makes the tasks of j wait for no run.
+func (j *activeJob) detachRuns() {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if t.run != nil {
@@ -211,7 +217,6 @@
 			}
 		}
 	}
-	return true
 }
 
 // stopRuns stops all runs of the tasks of j, whatever the states of the tasks.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -171,7 +171,8 @@
 	id  TaskID
 	// state is a state of taskChart. Only apply changes it.
 	state chart.State
-	// run is the run for which the task waits. It is set while the task is placed.
+	// run is the run for which the task waits, or nil. It is set while the task is placed
+	// and its job has not ended.
 	run *run
 	// number is the number of the latest run.
 	number   int
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -51,10 +51,8 @@
 			for _, addr := range live {
 				d.reportEnd(now, addr, End{ID: id, State: ForwardAgain})
 			}
-		case silent && j.apply(jobReceiversLost):
-			j.suspendedAt = now
-			d.effects.decide("job-suspended", id, "placed", j.placed)
-			d.stopRuns(now, j)
+		case silent && j.state == jobActive:
+			d.suspend(now, j)
 		case silent && now.Sub(j.suspendedAt) > suspendedJobTimeout:
 			d.effects.decide("job-dropped", id)
 			d.dropJob(now, j)
@@ -62,6 +60,16 @@
 	}
 }
 
+// suspend suspends j, from whose receivers nothing is received.
+func (d *dispatcher) suspend(now time.Time, j *activeJob) {
+	if !j.apply(jobReceiversLost) {
+		return
+	}
+	j.suspendedAt = now
+	d.effects.decide("job-suspended", j.ID, "placed", j.placed)
+	d.stopRuns(now, j)
+}
+
 // dropExpired drops a job for which no caller waits any more.
 func (d *dispatcher) dropExpired(now time.Time, j *activeJob) {
 	d.effects.decide("job-expired", j.ID, "age", now.Sub(j.Arrived), "placed", j.placed)
