--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -58,7 +58,7 @@
 	j.receivers[from] = zone
 	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
 	j.forwardedAgain(job)
-	if j.apply(jobForwarded) {
+	if j.apply(eventForward) {
 		j.suspendedAt, j.forwardRequestedAt = time.Time{}, time.Time{}
 		d.effects.decide("job-resumed", j.ID, "receiver", from)
 	}
@@ -139,7 +139,7 @@
 		d.stopUnneeded(now, w, r)
 		return
 	}
-	if !t.apply(taskStarts) {
+	if !t.apply(eventPlace) {
 		return
 	}
 	w.adopt(r, t)
@@ -150,7 +150,7 @@
 // taskSucceeded records the success of t, of which other runs may be running, and ends its job
 // if it was the last task.
 func (d *dispatcher) taskSucceeded(now time.Time, t *task) {
-	if !t.apply(taskSucceeds) {
+	if !t.apply(eventSucceed) {
 		return
 	}
 	for _, w := range d.workersRunning(t.id) {
@@ -198,7 +198,7 @@
 // dropJob ends a job without a report to its receivers, and stops its runs. It reports false if
 // the job had ended before.
 func (d *dispatcher) dropJob(now time.Time, j *activeJob) bool {
-	if !j.apply(jobEnds) {
+	if !j.apply(eventEnd) {
 		return false
 	}
 	delete(d.jobs, j.ID)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -232,7 +232,7 @@
 // more.
 func (d *dispatcher) reset() {
 	for _, j := range d.jobs {
-		j.apply(jobEnds)
+		j.apply(eventEnd)
 	}
 	d.jobs = make(map[string]*activeJob)
 	d.queue = queue{}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -313,7 +313,7 @@
 			continue
 		}
 		for _, t := range j.steps[s] {
-			t.apply(taskUnblocked)
+			t.apply(eventUnblock)
 		}
 	}
 }
--- a/dispatch/job_state.go
+++ b/dispatch/job_state.go
@@ -26,23 +26,22 @@
 	jobSuspended = jobChart.MustState("suspended")
 	jobEnded     = jobChart.MustState("ended")
 
-	jobReceiversLost = jobChart.MustEvent("receivers-lost")
-	jobForwarded     = jobChart.MustEvent("forwarded")
-	jobEnds          = jobChart.MustEvent("ended")
+	eventSuspend = jobChart.MustEvent("suspend")
+	eventForward = jobChart.MustEvent("forward")
+	eventEnd     = jobChart.MustEvent("end")
 )
 
 // The states and events of taskChart that the code uses. A blocked task, in the initial state,
-// waits for earlier steps, and a placed one
-// for its run.
+// waits for earlier steps, and a placed one for its run.
 var (
 	taskWaiting = taskChart.MustState("waiting")
 	taskPlaced  = taskChart.MustState("placed")
 	taskDone    = taskChart.MustState("done")
 
-	taskUnblocked = taskChart.MustEvent("unblocked")
-	taskStarts    = taskChart.MustEvent("placed")
-	taskRunLost   = taskChart.MustEvent("run-lost")
-	taskSucceeds  = taskChart.MustEvent("succeeded")
+	eventUnblock = taskChart.MustEvent("unblock")
+	eventPlace   = taskChart.MustEvent("place")
+	eventLoseRun = taskChart.MustEvent("lose-run")
+	eventSucceed = taskChart.MustEvent("succeed")
 )
 
 // JobChart returns the chart of the states of a job at its leader.
--- a/dispatch/redirect_test.go
+++ b/dispatch/redirect_test.go
@@ -158,6 +158,6 @@
 	is.True(!d.redirectable(now, again))
 
 	d.removeRun(d.workers["w-fast"], d.workers["w-fast"].runs[started.id])
-	started.apply(taskRunLost)
+	started.apply(eventLoseRun)
 	is.True(!d.redirectable(now, started.job))
 }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -64,7 +64,7 @@
 
 // start issues a command to run t, which waits, on w.
 func (d *dispatcher) start(now time.Time, w *worker, t *task) {
-	if !t.apply(taskStarts) {
+	if !t.apply(eventPlace) {
 		return
 	}
 	t.number++
@@ -153,7 +153,7 @@
 
 // requeue makes t, whose run has ended without success, wait for another one.
 func (d *dispatcher) requeue(t *task) {
-	if t.apply(taskRunLost) {
+	if t.apply(eventLoseRun) {
 		d.queue.add(t.job)
 	}
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -62,7 +62,7 @@
 
 // suspend suspends j, from whose receivers nothing is received.
 func (d *dispatcher) suspend(now time.Time, j *activeJob) {
-	if !j.apply(jobReceiversLost) {
+	if !j.apply(eventSuspend) {
 		return
 	}
 	j.suspendedAt = now
