--- a/dispatch/ended_jobs_test.go
+++ b/dispatch/ended_jobs_test.go
@@ -118,7 +118,7 @@
 // the job, and its end must not start the job's next step beside the job that its caller has
 // submitted again to another zone.
 func TestEndedJobStartsNothing(t *testing.T) {
-	const late = 1.94 // worthless 5.1 s before its tasks could end: between the second start and the notice
+	const late = 1.94 // given up 5.1 s after its arrival: between the second start and the notice
 	for _, test := range []struct {
 		name  string
 		shape *jobShape
