--- a/review/rig-3/caller.go
+++ b/review/rig-3/caller.go
@@ -37,7 +37,10 @@
 	}
 	j := job{id: hex.EncodeToString(id[:]), steps: steps}
 	for n := range j.steps {
-		j.steps[n].CPU, j.steps[n].MemMb, j.steps[n].EstimatedMs = load.millicores, 64, load.runTime.Milliseconds()
+		j.steps[n].CPU, j.steps[n].MemMb = load.millicores, 64
+		if j.steps[n].EstimatedMs == 0 {
+			j.steps[n].EstimatedMs = load.runTime.Milliseconds()
+		}
 	}
 	d.mu.Lock()
 	d.loads[j.id] = load
--- a/review/rig-3/cancel.go
+++ b/review/rig-3/cancel.go
@@ -24,15 +24,15 @@
 	workersPerZone = 16
 )
 
-// addWorkers starts the workers of a service in all zones. Of three workers in a row, two are of
-// kind a and one is of kind b.
+// addWorkers starts the workers of a service in all zones, of the kinds and speeds of the site.
 func (d *deployment) addWorkers(service string, perZone int) error {
-	kinds := []string{"a", "a", "b"}
+	kinds, speeds := []string{"a", "a", "b"}, []float64{0.55, 1.2, 1.2, 1.2}
 	for z, zone := range zones {
 		for n := range perZone {
 			cfg := workerConfig{
 				id: "i-" + service + "-" + zone.name + "-" + string(rune('a'+n)), service: service, zone: zone.name,
 				kind: kinds[n%len(kinds)], rack: "r" + string(rune('1'+z)) + "-" + string(rune('1'+n/8)), millicores: 16000,
+				speed: speeds[n%len(speeds)],
 			}
 			if err := d.addWorker(cfg); err != nil {
 				return err
@@ -116,52 +116,3 @@
 	}
 	return broken, nil
 }
-
-// cancelAtAnotherInstance breaks the connection on which a caller has submitted its job. The
-// caller submits the job again at another instance, and then cancels it at the instance to which
-// its new connections go.
-func cancelAtAnotherInstance(d *deployment, trouble bool) (bool, error) {
-	const (
-		runTime  = 600 * time.Millisecond
-		steps    = 10
-		patience = 9 * time.Second
-		// breakAfter is the time from the submission to the loss of the connection.
-		breakAfter = 300 * time.Millisecond
-		// cancelAfter is the time from the latest submission to the cancelling.
-		cancelAfter = 300 * time.Millisecond
-	)
-	r := route{name: "r-retouch", host: "retouch.example", prefix: "/retouch/", service: service, timeout: patience}
-	d.configure(1, []string{service}, []route{r})
-	if err := d.addWorkers(service, workersPerZone); err != nil {
-		return false, err
-	}
-	if err := d.startInstances(); err != nil {
-		return false, err
-	}
-	home, other := d.instances[0], d.instances[1]
-	j := d.newJob(workload{millicores: editorTask, runTime: runTime}, chain(steps)...)
-	submittedTo := home
-	if trouble {
-		ctx, breakConnection := context.WithTimeout(context.Background(), breakAfter)
-		d.submit(ctx, home, r, j, patience)
-		breakConnection()
-		d.record.note("caller  the connection was reset")
-		time.Sleep(resendDelay)
-		submittedTo = other
-	}
-	submitted := make(chan answer, 1)
-	go func() { submitted <- d.submit(context.Background(), submittedTo, r, j, patience) }()
-	time.Sleep(cancelAfter)
-	ack := d.cancel(home, r, j)
-	if ack.status/100 != 2 && ack.status != http.StatusGone {
-		return false, errors.New("the cancelling was not acknowledged")
-	}
-	<-submitted
-	time.Sleep(time.Until(ack.received.Add(cancelBound + time.Second)))
-	broken := false
-	for _, s := range d.startsAfter(j, ack.received.Add(cancelBound)) {
-		broken = true
-		d.record.note("broken  UNASKED: %s started %v after the cancelling of its job was acknowledged with %d", s.task, s.at.Sub(ack.received), ack.status)
-	}
-	return broken, nil
-}
--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -35,6 +35,8 @@
 type route struct {
 	name, host, prefix, service string
 	timeout                     time.Duration
+	// urgency is the priority of the queue: 0 comes first.
+	urgency int
 }
 
 // instance is a process of the program.
@@ -43,7 +45,10 @@
 	// address is where callers are served, ready that of the health check, and metrics that
 	// of the metrics.
 	address, ready, metrics string
-	process                 *exec.Cmd
+	// ip and port are those at which the ports of the process begin.
+	ip      string
+	port    int
+	process *exec.Cmd
 }
 
 // deployment is the system under test with the platform around it.
@@ -58,9 +63,7 @@
 	instances []*instance
 
 	mu      sync.Mutex
-	workers map[string]*worker
-	// addresses holds the address of each worker, which stays with it.
-	addresses map[string]string
+	workers []*worker
 	// loads holds what the tasks of each job need.
 	loads    map[string]workload
 	stopping chan struct{}
@@ -76,8 +79,8 @@
 	d := &deployment{
 		record: record, history: &history{}, dir: dir,
 		net:   fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250),
-		store: standin.NewStore(standin.StoreConfig{AppendDelay: 2 * time.Millisecond}), workers: make(map[string]*worker),
-		addresses: make(map[string]string), loads: make(map[string]workload), stopping: make(chan struct{}),
+		store: standin.NewStore(standin.StoreConfig{AppendDelay: 2 * time.Millisecond}),
+		loads: make(map[string]workload), stopping: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", d.net+".1:0")
 	if err != nil {
@@ -91,23 +94,16 @@
 	return d, nil
 }
 
-// addWorker starts a worker, or a new incarnation of a worker that has crashed, and registers
-// it in the store at once.
+// addWorker starts a worker and registers it in the store.
 func (d *deployment) addWorker(cfg workerConfig) error {
-	d.mu.Lock()
-	address := d.addresses[cfg.id]
-	d.mu.Unlock()
-	if address == "" {
-		address = d.net + ".2:0"
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", d.net+".2:0")
 	if err != nil {
 		return err
 	}
 	w := startWorker(cfg, listener, d.record, d.history, d.load)
-	address = listener.Addr().String()
+	address := listener.Addr().String()
 	d.mu.Lock()
-	d.workers[cfg.id], d.addresses[cfg.id] = w, address
+	d.workers = append(d.workers, w)
 	d.mu.Unlock()
 	d.store.Put("keyed.servers", cfg.id, w.entry(address, 1))
 	d.stopped.Add(1)
@@ -121,25 +117,12 @@
 				return
 			case <-ticker.C:
 			}
-			w.mu.Lock()
-			ended := w.ended
-			w.mu.Unlock()
-			if ended {
-				return
-			}
 			d.store.Put("keyed.servers", cfg.id, w.entry(address, sequence))
 		}
 	}()
 	return nil
 }
 
-// worker returns the present incarnation of a worker.
-func (d *deployment) worker(id string) *worker {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.workers[id]
-}
-
 // load returns what a task needs.
 func (d *deployment) load(task string) workload {
 	job, _, _ := strings.Cut(task, ".")
@@ -157,7 +140,7 @@
 	for _, r := range routes {
 		routeRows = append(routeRows, row{
 			"name": r.name, "host": r.host, "path_prefix": r.prefix, "kind": "unsafe", "timeout_ms": r.timeout.Milliseconds(),
-			"target_latency_ms": 60, "priority": 0, "service": r.service, "max_attempts": 4, "stretch_factor": 1.6,
+			"target_latency_ms": 60, "priority": r.urgency, "service": r.service, "max_attempts": 4, "stretch_factor": 1.6,
 		})
 	}
 	for _, s := range services {
@@ -256,11 +239,12 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, i.name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.dir, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
+	i.ip, i.port = ip, port
 	i.process = exec.Command(program, "serve")
 	i.process.Env = append(os.Environ(), "AMARANTHWELL_NODE_FILE="+path)
 	i.process.Stdout, i.process.Stderr = log, log
@@ -272,6 +256,23 @@
 	return nil
 }
 
+// killAll kills all processes, and starts them again after downTime.
+func (d *deployment) killAll(downTime time.Duration) error {
+	for _, i := range d.instances {
+		d.signal(i, syscall.SIGKILL)
+	}
+	for _, i := range d.instances {
+		_ = i.process.Wait()
+	}
+	time.Sleep(downTime)
+	for _, i := range d.instances {
+		if err := d.startInstance(i, i.ip, i.port); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // signal sends a signal to the process of i.
 func (d *deployment) signal(i *instance, s syscall.Signal) {
 	d.record.note("process %s gets %v", i.name, s)
@@ -316,7 +317,7 @@
 	workers := d.workers
 	d.mu.Unlock()
 	for _, w := range workers {
-		w.crash()
+		w.close()
 	}
 	d.stopped.Wait()
 	if !keepLogs {
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -26,9 +26,9 @@
 // cases are the cases by their names.
 var cases = map[string]caseFunc{
 	"late-copy-of-cancelled-job":  lateCopyOfCancelledJob,
-	"cancel-at-another-instance":  cancelAtAnotherInstance,
-	"incarnation-of-another-kind": incarnationOfAnotherKind,
+	"two-late-copies-of-a-job":    twoLateCopies,
 	"job-resumed-on-old-service":  jobResumedOnOldService,
+	"kind-refused-after-recovery": kindRefusedAfterRecovery,
 }
 
 func main() {
--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -4,7 +4,10 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -22,34 +25,42 @@
 	maxListedEnds = 500
 )
 
-// workerConfig describes one incarnation of a worker.
+// workerConfig describes a worker.
 type workerConfig struct {
 	id, service, zone, kind, rack string
 	millicores                    int
+	// speed divides the run times of tasks. Zero means 1.
+	speed float64
 }
 
 // startEvent is a run that a worker has begun.
 type startEvent struct {
 	at     time.Time
 	task   string
-	number int
-	// worker describes the incarnation of the worker, and born is the time of its start.
 	worker workerConfig
-	born   time.Time
+	// ended is when the run ended, or zero.
+	ended time.Time
 }
 
 // history holds the starts at all workers. It is safe for concurrent use.
 type history struct {
 	mu     sync.Mutex
-	starts []startEvent
+	starts []*startEvent
 }
 
-func (h *history) add(e startEvent) {
+func (h *history) add(e *startEvent) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts = append(h.starts, e)
 }
 
+// end records the end of a run.
+func (h *history) end(e *startEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.ended = time.Now()
+}
+
 // of returns the starts of the tasks of a job, in the order of time.
 func (h *history) of(job string) []startEvent {
 	h.mu.Lock()
@@ -57,19 +68,12 @@
 	var found []startEvent
 	for _, e := range h.starts {
 		if strings.HasPrefix(e.task, job+".") {
-			found = append(found, e)
+			found = append(found, *e)
 		}
 	}
 	return found
 }
 
-// all returns all starts.
-func (h *history) all() []startEvent {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.Clone(h.starts)
-}
-
 // run is a run that goes on.
 type run struct {
 	number   int
@@ -78,12 +82,24 @@
 	runTime  time.Duration
 	stopping bool
 	timer    *time.Timer
+	event    *startEvent
 }
 
-// workload is what a task of a job needs.
+// workload is what the tasks of a job need.
 type workload struct {
 	millicores int
-	runTime    time.Duration
+	// runTime is the run time of a task on a worker of speed 1. The run times of the tasks
+	// differ from it: its logarithm has the deviation uneven.
+	runTime time.Duration
+	uneven  float64
+}
+
+// of returns the run time of a task on a worker of speed 1. Each run of it takes as long.
+func (l workload) of(task string) time.Duration {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(task))
+	rng := rand.New(rand.NewPCG(hash.Sum64(), 0))
+	return time.Duration(float64(l.runTime) * math.Exp(l.uneven*rng.NormFloat64()))
 }
 
 // A worker is a stand-in for a worker of the platform, as PROTOCOL.md specifies it: leases,
@@ -110,7 +126,7 @@
 	ended   bool
 }
 
-// startWorker starts an incarnation of a worker that listens on listener.
+// startWorker starts a worker that listens on listener.
 func startWorker(cfg workerConfig, listener net.Listener, record *record, history *history, load func(task string) workload) *worker {
 	w := &worker{
 		cfg: cfg, record: record, history: history, workload: load, born: time.Now(),
@@ -126,8 +142,8 @@
 	return w
 }
 
-// crash ends this incarnation, its runs and its connections at once.
-func (w *worker) crash() {
+// close ends the worker, its runs and its connections at once.
+func (w *worker) close() {
 	w.mu.Lock()
 	w.ended = true
 	for _, r := range w.running {
@@ -225,9 +241,10 @@
 	r.timer.Stop()
 	delete(w.running, task)
 	w.highest[task] = max(w.highest[task], r.number)
+	w.history.end(r.event)
 	w.ends++
 	w.finished = append(w.finished, []any{w.ends, task, r.number, how, ""})
-	w.record.note("run     %s run %d on %s (%s): %s", task, r.number, w.cfg.id, w.cfg.kind, how)
+	w.record.note("run     %s run %d on %s, started at %.3f: %s", task, r.number, w.cfg.id, r.since.Sub(w.record.start).Seconds(), how)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -253,15 +270,22 @@
 		return w.refusal("room")
 	}
 	w.extend(deadline)
-	r := &run{number: o.Run, needs: load.millicores, since: time.Now(), runTime: load.runTime}
+	runTime := load.of(o.Task)
+	if w.cfg.speed > 0 {
+		runTime = time.Duration(float64(runTime) / w.cfg.speed)
+	}
+	now := time.Now()
+	r := &run{
+		number: o.Run, needs: load.millicores, since: now, runTime: runTime,
+		event: &startEvent{at: now, task: o.Task, worker: w.cfg},
+	}
 	w.running[o.Task] = r
-	r.timer = time.AfterFunc(load.runTime, func() {
+	r.timer = time.AfterFunc(runTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.end(o.Task, r, "done")
 	})
-	w.history.add(startEvent{at: time.Now(), task: o.Task, number: o.Run, worker: w.cfg, born: w.born})
-	w.record.note("run     %s run %d on %s (service %s, kind %s): started, token %d", o.Task, o.Run, w.cfg.id, w.cfg.service, w.cfg.kind, o.Token)
+	w.history.add(r.event)
 	return http.StatusOK, map[string]any{}
 }
 
