--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # build line of deploy/system.toml makes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/rig-3
+go build -tags review -o target/review-3/ ./review/rig-3
--- a/review/rig-3/copies.go
+++ b/review/rig-3/copies.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/rig-3/doc.go
+++ b/review/rig-3/doc.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig-3 plays the cases of the third review that are no days of the bench.
 //
 // A case starts a small deployment on loopback addresses: instances of the program as
