dispatch, cmd/amaranthwell: log lines that tell apart the ways to two leaders of a job

Added: the fields confirmed and leaders of job-abandoned, confirmed of job-withdrawn, job-expired and job-suspended, the lines job-joined and run-duplicate, process-paused from 0.35 s on, and a counter of the lines by event. No decision is changed.

--- a/cmd/amaranthwell/decision_log.go
+++ b/cmd/amaranthwell/decision_log.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
@@ -27,6 +29,10 @@
 // It is not safe for concurrent use: the control goroutine owns it.
 type decisionLog struct {
 	logger log.Logger
+	// metrics holds the counters of the lines that are not routine, which counts holds by
+	// event.
+	metrics *metrics.Set
+	counts  map[string]*metrics.Counter
 	// second is the start of the current second.
 	second time.Time
 	// share is the share of the jobs whose routine lines are written, in
@@ -53,13 +59,29 @@
 	example string
 }
 
-func newDecisionLog(logger log.Logger) *decisionLog {
-	return &decisionLog{logger: logger, share: fullShare, omitted: make(map[lineKind]*omittedLines)}
+func newDecisionLog(logger log.Logger, set *metrics.Set) *decisionLog {
+	return &decisionLog{
+		logger: logger, share: fullShare, omitted: make(map[lineKind]*omittedLines),
+		metrics: set, counts: make(map[string]*metrics.Counter),
+	}
+}
+
+// count counts a decision that is not routine, whether or not its line is written.
+func (l *decisionLog) count(event string) {
+	counter := l.counts[event]
+	if counter == nil {
+		counter = l.metrics.NewCounter(fmt.Sprintf("amaranthwell_decisions_total{event=%q}", event))
+		l.counts[event] = counter
+	}
+	counter.Inc()
 }
 
 // write logs a decision made at now, or counts it as omitted.
 func (l *decisionLog) write(now time.Time, d dispatch.Decision) {
 	l.startSecond(now)
+	if !d.Routine {
+		l.count(d.Event)
+	}
 	switch {
 	case d.Routine:
 		l.routine++
--- a/cmd/amaranthwell/decision_log_test.go
+++ b/cmd/amaranthwell/decision_log_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
@@ -19,7 +20,7 @@
 func TestDecisionLogKeepsOrOmitsAllRoutineLinesOfAJob(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	l := newDecisionLog(log.NewLogfmtLogger(&out))
+	l := newDecisionLog(log.NewLogfmtLogger(&out), metrics.NewSet())
 	now := time.Unix(100, 0)
 	const jobs = 2 * maxRoutineLines
 	for second := range 3 {
@@ -48,11 +49,12 @@
 }
 
 // Above the limit of other lines, a decision log counts lines by event and reason, and
-// logs the counts in the next second.
+// logs the counts in the next second. The counter of the event counts all.
 func TestDecisionLogCountsExcessRefusals(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	l := newDecisionLog(log.NewLogfmtLogger(&out))
+	set := metrics.NewSet()
+	l := newDecisionLog(log.NewLogfmtLogger(&out), set)
 	now := time.Unix(100, 0)
 	refusal := func(n int) dispatch.Decision {
 		return dispatch.Decision{Event: "job-not-run", Subject: fmt.Sprintf("%016x", n), Fields: []any{"reason", "overload"}}
@@ -65,6 +67,7 @@
 	l.write(now.Add(time.Second), refusal(0))
 	first, _, _ := strings.Cut(out.String(), "\n")
 	is.Equal(first, fmt.Sprintf("event=log-lines-left-out of=job-not-run reason=overload count=5 example=%016x", maxOtherLines))
+	is.Equal(set.GetOrCreateCounter(`amaranthwell_decisions_total{event="job-not-run"}`).Get(), uint64(maxOtherLines+6))
 }
 
 // blockedOutput is an output whose writes never return. It reports the first write.
@@ -81,7 +84,7 @@
 	is := is.New(t)
 	output := blockedOutput{written: make(chan struct{})}
 	lines := newLineWriter(output)
-	l := newDecisionLog(log.NewLogfmtLogger(lines))
+	l := newDecisionLog(log.NewLogfmtLogger(lines), metrics.NewSet())
 	const many = 10 * lineCapacity
 	write := func(n int) { l.write(time.Unix(int64(n), 0), dispatch.Decision{Event: "job-failed", Subject: "x"}) }
 	write(0)
@@ -94,7 +97,7 @@
 
 func BenchmarkDecisionLog(b *testing.B) {
 	logger := log.With(log.NewLogfmtLogger(newLineWriter(io.Discard)), "time", log.DefaultTimestampUTC, "instance", "entry-1")
-	l := newDecisionLog(logger)
+	l := newDecisionLog(logger, metrics.NewSet())
 	for n := range b.N {
 		l.write(time.Unix(int64(n), 0), dispatch.Decision{Event: "tasks-started", Subject: "4a682232fefefc68", Routine: true, Fields: []any{
 			"runs", "0.0#1@i-e9bedafbf8 0.1#1@i-af59e0c9cb", "waiting", 0, "queued", 3, "expected", 35 * time.Millisecond, "left", 90 * time.Millisecond, "round", 0,
--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -86,7 +86,7 @@
 		callers:        newWaiters[dispatch.CallerID, dispatch.End](),
 		jobSeconds:     make(map[dispatch.State]*metrics.Histogram),
 
-		decisions: newDecisionLog(cfg.Logger),
+		decisions: newDecisionLog(cfg.Logger, cfg.Metrics),
 		drained:   newDrainedState(cfg.Metrics, cfg.Node.Zones),
 		doubt:     newDoubtMetrics(cfg.Metrics),
 	}
--- a/dispatch/active_jobs.go
+++ b/dispatch/active_jobs.go
@@ -55,6 +55,10 @@
 		}
 	}
 	j.foreign = zone != home && (j.foreign || len(j.receivers) == 0)
+	if _, known := j.receivers[from]; !isNew && !known {
+		d.effects.decide("job-joined", j.ID, "receiver", from, "receivers", len(j.receivers), "placed", j.placed,
+			"confirmed", SinceOrNever(now, d.jobConfirmedAt(now, j)))
+	}
 	j.receivers[from] = zone
 	j.CallerDeadline = later(j.CallerDeadline, job.CallerDeadline)
 	j.forwardedAgain(job)
@@ -253,7 +257,7 @@
 	j.confirmedAt = d.jobConfirmedAt(now, j)
 	delete(j.receivers, from)
 	if len(j.receivers) == 0 {
-		d.effects.decide("job-withdrawn", id, "age", now.Sub(j.Arrived), "placed", j.placed)
+		d.effects.decide("job-withdrawn", id, "receiver", from, "age", now.Sub(j.Arrived), "placed", j.placed, "confirmed", SinceOrNever(now, j.confirmedAt))
 		d.dropJob(now, j)
 	}
 }
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -102,6 +102,8 @@
 		if now.Before(i.receiver.settledAt) {
 			// Callers may have left during a pause, so that this reply confirms no job.
 			reply.EchoNanos = 0
+		} else {
+			p.repliedAt = now
 		}
 		i.sendHeartbeat(from, reply)
 	}
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -102,8 +102,10 @@
 	if gap > receiverTimeout {
 		i.receiver.settledAt = now.Add(settleTime)
 	}
+	if gap > receiverTimeout {
+		i.effects.decide("process-paused", i.cfg.Zone, "for", gap, "led", len(i.dispatcher.terms), "gave-up", gap > pauseThreshold, "open-jobs", len(i.receiver.open))
+	}
 	if gap > pauseThreshold {
-		i.effects.decide("process-paused", i.cfg.Zone, "for", gap)
 		i.leadership.Resumed(now)
 		i.followTerms(now)
 	}
--- a/dispatch/peer_state.go
+++ b/dispatch/peer_state.go
@@ -14,6 +14,9 @@
 	// has answered: at that time or later, it waited for all jobs that it had forwarded
 	// and not withdrawn.
 	confirmedAt time.Time
+	// repliedAt is when this instance last answered a heartbeat of the peer, and so
+	// confirmed the jobs that it had forwarded there.
+	repliedAt time.Time
 	// tablesWanted is set if the next heartbeat to the peer requests its configuration.
 	tablesWanted bool
 	// incarnation is that of the peer's process, or 0 if none is known, and
--- a/dispatch/polls.go
+++ b/dispatch/polls.go
@@ -242,6 +242,8 @@
 	r := &run{id: p.Task, number: p.Number, orphaned: true, since: now, progressAt: now, percent: p.Percent, state: runStarted}
 	if other := d.running[p.Task]; other != nil {
 		// The task may be running on another worker, too. Both runs are stopped.
+		d.effects.decide("run-duplicate", p.Task.Job, "step", p.Task.Step, "task", p.Task.Index, "worker", w.ID, "run", p.Number,
+			"other", other.ID, "other-run", other.runs[p.Task].number, "other-polled", other.polled)
 		d.stopRun(now, other, other.runs[p.Task])
 		d.addRun(w, r)
 		d.stop(now, w, r)
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -231,11 +231,25 @@
 	o := r.open[id]
 	o.callers = slices.DeleteFunc(o.callers, func(c CallerID) bool { return c == caller })
 	if len(o.callers) == 0 {
-		r.instance.effects.decide("job-abandoned", id, "request", o.job.Request, "age", now.Sub(o.job.Arrived), "forwarded", o.forwarded)
+		r.instance.effects.decide("job-abandoned", id, "request", o.job.Request, "age", now.Sub(o.job.Arrived), "forwarded", o.forwarded,
+			"leaders", len(o.leaders), "confirmed", SinceOrNever(now, r.confirmedAt(now, o)))
 		r.withdraw(now, id)
 	}
 }
 
+// confirmedAt returns when this instance last confirmed to a leader that it waits for the job,
+// or zero.
+func (r *receiver) confirmedAt(now time.Time, o *openJob) time.Time {
+	var latest time.Time
+	for _, addr := range o.leaders {
+		if addr == r.instance.cfg.Self {
+			return now
+		}
+		latest = later(latest, r.instance.peer(addr).repliedAt)
+	}
+	return latest
+}
+
 // cancel ends a job at the request of its caller.
 func (r *receiver) cancel(now time.Time, id string) bool {
 	o := r.open[id]
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -66,13 +66,13 @@
 		return
 	}
 	j.suspendedAt = now
-	d.effects.decide("job-suspended", j.ID, "placed", j.placed)
+	d.effects.decide("job-suspended", j.ID, "placed", j.placed, "confirmed", SinceOrNever(now, d.jobConfirmedAt(now, j)))
 	d.stopRuns(now, j)
 }
 
 // dropExpired drops a job for which no caller waits any more.
 func (d *dispatcher) dropExpired(now time.Time, j *activeJob) {
-	d.effects.decide("job-expired", j.ID, "age", now.Sub(j.Arrived), "placed", j.placed)
+	d.effects.decide("job-expired", j.ID, "age", now.Sub(j.Arrived), "placed", j.placed, "confirmed", SinceOrNever(now, d.jobConfirmedAt(now, j)))
 	d.dropJob(now, j)
 }
 
