--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -23,6 +24,9 @@
 	heldEvents  []func()
 	callers     map[dispatch.CallerID]*simulatedJob
 	next        dispatch.CallerID
+	// handledFrom is, by connection, the time at which its last event since a pause is
+	// handled.
+	handledFrom map[string]time.Time
 	// lossy are the peers to which an envelope was lost since the last reset of the
 	// link.
 	lossy map[netip.AddrPort]bool
@@ -44,6 +48,7 @@
 func (n *simulatedInstance) start() {
 	n.incarnation++
 	n.paused, n.heldEvents = false, nil
+	n.handledFrom = make(map[string]time.Time)
 	n.callers = make(map[dispatch.CallerID]*simulatedJob)
 	n.lossy = make(map[netip.AddrPort]bool)
 	n.arrivals = make(map[netip.AddrPort]time.Time)
@@ -101,6 +106,31 @@
 	}
 }
 
+// doFrom is like do for an event of a connection. The events of one connection are handled in
+// order. If receivers are starved, those of different connections that arrived during a pause
+// are handled in any order, in up to maxBacklog after it.
+func (n *simulatedInstance) doFrom(connection string, incarnation int, event func()) {
+	if n.paused && n.simulation.starved && n.incarnation == incarnation {
+		n.heldEvents = append(n.heldEvents, func() { n.handleLate(connection, incarnation, event) })
+		return
+	}
+	if at := n.handledFrom[connection]; at.After(n.simulation.now) {
+		n.simulation.at(at, func() { n.do(incarnation, event) })
+		return
+	}
+	n.do(incarnation, event)
+}
+
+// handleLate handles an event that arrived during a pause that has just ended.
+func (n *simulatedInstance) handleLate(connection string, incarnation int, event func()) {
+	at := n.simulation.now.Add(time.Duration(n.simulation.random.Int64N(int64(maxBacklog))))
+	if last := n.handledFrom[connection]; last.After(at) {
+		at = last
+	}
+	n.handledFrom[connection] = at
+	n.simulation.at(at, func() { n.do(incarnation, event) })
+}
+
 // kill ends the process. Its callers lose their connections.
 func (n *simulatedInstance) kill() {
 	n.instance = nil
@@ -117,13 +147,20 @@
 	}
 	callers := slices.Sorted(maps.Keys(n.callers))
 	caller := callers[n.simulation.random.IntN(len(callers))]
-	j := n.callers[caller]
+	n.leave(caller, n.callers[caller])
+}
+
+// leave closes the connection of a caller, who submits its job again.
+func (n *simulatedInstance) leave(caller dispatch.CallerID, j *simulatedJob) {
 	delete(n.callers, caller)
 	n.simulation.note("the caller of %s leaves %v", j.id, n.address)
-	n.do(n.incarnation, func() { n.instance.Abandon(n.simulation.now, caller) })
+	n.doFrom(callerConnection(caller), n.incarnation, func() { n.instance.Abandon(n.simulation.now, caller) })
 	n.simulation.resubmit(j)
 }
 
+// callerConnection names the connection of a caller.
+func callerConnection(caller dispatch.CallerID) string { return fmt.Sprintf("caller-%d", caller) }
+
 // resume ends a pause of the process. It handles the events that arrived meanwhile.
 func (n *simulatedInstance) resume() {
 	n.paused = false
@@ -138,7 +175,15 @@
 	n.next++
 	caller := n.next
 	n.callers[caller] = j
-	n.do(n.incarnation, func() {
+	if n.simulation.starved {
+		incarnation := n.incarnation
+		n.simulation.after(starvedPatience, func() {
+			if n.incarnation == incarnation && n.callers[caller] == j {
+				n.leave(caller, j)
+			}
+		})
+	}
+	n.doFrom(callerConnection(caller), n.incarnation, func() {
 		now := n.simulation.now
 		job := dispatch.Job{
 			ID: j.id, Route: "previews", Pool: "editor", MaxAttempts: 3, Stretch: 4, Slack: time.Second,
@@ -147,6 +192,9 @@
 			}},
 			Arrived: now, CallerDeadline: now.Add(3 * time.Second),
 		}
+		if n.simulation.starved {
+			job.CallerDeadline = now.Add(starvedPatience)
+		}
 		if n.simulation.short {
 			job.Stretch, job.Slack, job.Steps[0].Estimate = shortStretch, shortSlack, shortRunTime
 		}
@@ -247,7 +295,7 @@
 	}
 	n.arrivals[s.To] = arrival
 	n.simulation.at(arrival, func() {
-		to.do(incarnation, func() {
+		to.doFrom(from.String(), incarnation, func() {
 			for _, job := range env.Jobs {
 				delete(to.ended, job.Id)
 			}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -145,6 +145,9 @@
 	// divided into two shards. Faults then also change the number of shards at single
 	// instances.
 	shards bool
+	// starved is set if an instance takes a while to handle what has arrived during a pause,
+	// and callers leave after starvedPatience although they got no answer.
+	starved bool
 	// uneven is set, with apart, if each zone has three instances, the last of which is too
 	// light to lead its workers. Faults then also shut instances down.
 	uneven bool
