dispatch, platform: a receiver asks whether callers are connected before it speaks for them

Cause: a receiver that was paused, or is starved, reads requests that have waited for seconds, as if they had just arrived. Their callers have left and have submitted the jobs again elsewhere. The receiver forwarded the job, or confirmed it to its leader, until it handled the end of the connection. It counted on having done so 50 ms after a pause. On a slow machine it has not, and a starved process shows no pause.

Change: before a receiver forwards a job, and before it answers a heartbeat of a leader that has the job, it asks the system whether the connections of the job's callers are open, and withdraws a job that nobody waits for. A leader asks every 0.1 s for the jobs that it has received itself, and confirms them as of then. A pause, or a queue of events that is handled in any order, makes no difference to what the system answers.

--- a/cmd/amaranthwell/dispatch_loop.go
+++ b/cmd/amaranthwell/dispatch_loop.go
@@ -66,6 +66,9 @@
 	leadingChanged chan struct{}
 
 	callers *waiters[dispatch.CallerID, dispatch.End]
+	// connected holds, by the CallerID of each waiting caller, a func() bool that reports
+	// whether its connection is open.
+	connected sync.Map
 	// openJobs holds the IDs of the jobs for which callers wait.
 	openJobs sync.Map
 	links    *links
@@ -114,6 +117,7 @@
 
 		ResubmitDelay:    cfg.Node.ResubmitDelay,
 		RemoteRackFactor: cfg.Node.RemoteRackFactor,
+		Callers:          l,
 	})
 	go func() {
 		defer close(l.stopped)
@@ -237,9 +241,12 @@
 
 // Run submits a job to the instance, waits for its end and returns its final state. If
 // ctx ends first, the job is abandoned and the error of ctx is returned. If the control
-// goroutine has stopped, the state is Overdue.
-func (l *dispatchLoop) Run(ctx context.Context, job dispatch.Job) (dispatch.End, error) {
+// goroutine has stopped, the state is Overdue. connected reports whether the caller's connection
+// is open.
+func (l *dispatchLoop) Run(ctx context.Context, job dispatch.Job, connected func() bool) (dispatch.End, error) {
 	id, ends := l.callers.add()
+	l.connected.Store(id, connected)
+	defer l.connected.Delete(id)
 	l.openJobs.Store(job.ID, struct{}{})
 	defer l.openJobs.Delete(job.ID)
 	l.post(func(now time.Time, i *dispatch.Instance) { i.Submit(now, id, job) })
@@ -256,6 +263,13 @@
 	}
 }
 
+// Connected implements dispatch.Callers. A caller that Run does not wait for any more is not
+// connected.
+func (l *dispatchLoop) Connected(id dispatch.CallerID) bool {
+	connected, waits := l.connected.Load(id)
+	return waits && connected.(func() bool)()
+}
+
 // recordEnd updates the metrics with the end of a job and the time since its arrival.
 func (l *dispatchLoop) recordEnd(end dispatch.End, age time.Duration) {
 	l.jobSeconds[end.State].Update(age.Seconds())
--- a/cmd/amaranthwell/serve.go
+++ b/cmd/amaranthwell/serve.go
@@ -168,6 +168,7 @@
 		ReadHeaderTimeout: callerHeaderTimeout,
 		ReadTimeout:       callerReadTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		ConnContext:       platform.CallerContext,
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", s.handleReady)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -103,6 +103,7 @@
 			// Callers may have left during a pause, so that this reply confirms no job.
 			reply.EchoNanos = 0
 		} else {
+			i.receiver.confirm(now, from)
 			p.repliedAt = now
 		}
 		i.sendHeartbeat(from, reply)
@@ -111,9 +112,9 @@
 
 // confirmedBy returns the latest time at which the process at addr is known to have waited
 // for the jobs that it had forwarded and not withdrawn, or zero.
-func (i *Instance) confirmedBy(now time.Time, addr netip.AddrPort) time.Time {
+func (i *Instance) confirmedBy(_ time.Time, addr netip.AddrPort) time.Time {
 	if addr == i.cfg.Self {
-		return now
+		return i.receiver.ownConfirmedAt
 	}
 	if p := i.peers[addr]; p != nil {
 		return p.confirmedAt
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -27,6 +27,9 @@
 	// RemoteRackFactor is the factor by which the run time of a task grows on a rack that
 	// does not hold its data, or 0 for a default.
 	RemoteRackFactor float64
+	// Callers tells whether callers are connected, or is nil if they count as connected until
+	// Abandon is called.
+	Callers Callers
 	// Incarnation distinguishes this process from earlier ones at the same address.
 	Incarnation uint64
 	// Wall is the time of day when the process started.
--- a/dispatch/leader_change_test.go
+++ b/dispatch/leader_change_test.go
@@ -34,17 +34,22 @@
 	restarts int64
 	// unanswered reports whether a poll gets no answer. It may be nil.
 	unanswered func(dispatch.Poll) bool
+	// left are the callers whose connections are closed.
+	left map[dispatch.CallerID]bool
 }
 
 func newScriptedInstance() *scriptedInstance {
-	s := &scriptedInstance{now: simulationStart, clockStart: simulationStart}
+	s := &scriptedInstance{now: simulationStart, clockStart: simulationStart, left: make(map[dispatch.CallerID]bool)}
 	s.Instance = dispatch.NewInstance(s.now, dispatch.Config{
-		Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: s.now,
+		Self: selfAddress, Zone: "hr-north-a", Zones: []string{"hr-north-a"}, Wall: s.now, Callers: s,
 	})
 	s.SetDrainedZones(s.now, 1, nil)
 	return s
 }
 
+// Connected implements dispatch.Callers.
+func (s *scriptedInstance) Connected(caller dispatch.CallerID) bool { return !s.left[caller] }
+
 // advance advances the time by d. Polls are answered with the report.
 func (s *scriptedInstance) advance(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); {
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -26,6 +26,9 @@
 	// settledAt is the time, after a pause of the process, from which jobs are forwarded
 	// again: callers that have left meanwhile are known by then.
 	settledAt time.Time
+	// ownConfirmedAt is when the callers of the jobs that were forwarded to this instance
+	// itself were last checked.
+	ownConfirmedAt time.Time
 	// withdrawn is the number of the latest withdrawal. The numbers of a process begin
 	// after those of earlier processes on its machine.
 	withdrawn uint64
@@ -57,6 +60,7 @@
 		zones:            []*followedZone{home},
 		home:             home,
 		unreachableUntil: make(map[string]time.Time),
+		ownConfirmedAt:   now,
 		withdrawn:        uint64(now.UnixNano()),
 	}
 }
@@ -99,11 +103,14 @@
 }
 
 // forward forwards a job to the leader of its zone, if there is one and it does not have the
-// job.
+// job. It withdraws a job whose callers have left.
 func (r *receiver) forward(now time.Time, o *openJob) {
 	if o.forwarded || now.Before(r.settledAt) || !o.zone.leader.Leader.IsValid() || !o.zone.leaderlessSince.IsZero() {
 		return
 	}
+	if !r.hasCallers(now, o) {
+		return
+	}
 	o.forwarded, o.everForwarded = true, true
 	o.forwards++
 	i, leader := r.instance, o.zone.leader.Leader
@@ -232,18 +239,18 @@
 	o.callers = slices.DeleteFunc(o.callers, func(c CallerID) bool { return c == caller })
 	if len(o.callers) == 0 {
 		r.instance.effects.decide("job-abandoned", id, "request", o.job.Request, "age", now.Sub(o.job.Arrived), "forwarded", o.forwarded,
-			"leaders", len(o.leaders), "confirmed", SinceOrNever(now, r.confirmedAt(now, o)))
+			"leaders", len(o.leaders), "confirmed", SinceOrNever(now, r.confirmedAt(o)))
 		r.withdraw(now, id)
 	}
 }
 
 // confirmedAt returns when this instance last confirmed to a leader that it waits for the job,
 // or zero.
-func (r *receiver) confirmedAt(now time.Time, o *openJob) time.Time {
+func (r *receiver) confirmedAt(o *openJob) time.Time {
 	var latest time.Time
 	for _, addr := range o.leaders {
 		if addr == r.instance.cfg.Self {
-			return now
+			return r.ownConfirmedAt
 		}
 		latest = later(latest, r.instance.peer(addr).repliedAt)
 	}
@@ -301,6 +308,7 @@
 // be forwarded before.
 func (r *receiver) tick(now time.Time) {
 	r.checkZones(now)
+	r.confirmOwn(now)
 	for _, id := range r.ids() {
 		if !now.Before(r.open[id].job.CallerDeadline) {
 			r.answerUnfinished(now, id, "time-out")
--- a/dispatch/simulated_instance_test.go
+++ b/dispatch/simulated_instance_test.go
@@ -61,6 +61,7 @@
 		Unfenced:    n.simulation.unfenced,
 		Incarnation: uint64(n.incarnation),
 		Wall:        n.simulation.now,
+		Callers:     n,
 	})
 	for _, other := range n.simulation.instances {
 		n.instance.AddMember(n.simulation.now, other.address, simulationZones[other.zone], other.weight())
@@ -158,6 +159,9 @@
 	n.simulation.resubmit(j)
 }
 
+// Connected implements dispatch.Callers.
+func (n *simulatedInstance) Connected(caller dispatch.CallerID) bool { return n.callers[caller] != nil }
+
 // callerConnection names the connection of a caller.
 func callerConnection(caller dispatch.CallerID) string { return fmt.Sprintf("caller-%d", caller) }
 
