dispatch: a receiver does not wait after a pause

After a pause of 0.35 s a receiver forwarded and confirmed nothing for 50 ms, in which it was to notice which callers had left. Since it asks the system for the connections, the wait has no use and delays the jobs of callers that do wait.

TestReceiverConfirmsNothingJustAfterAPause required the wait. TestReceiverConfirmsNoJobOfALeftCallerAfterAPause requires what the wait was for: the job of a caller that has left is neither confirmed nor forwarded, with no time in which it may be; that of a caller that waits is forwarded at once.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -47,9 +47,6 @@
 	// earlierRunsTimeout is the time since something was last received from a leader
 	// after which no run that it started is running any more.
 	earlierRunsTimeout = leaseDuration + 250*time.Millisecond
-	// settleTime is the time after a pause of the process in which the connections that
-	// callers have closed meanwhile become known.
-	settleTime = 50 * time.Millisecond
 	// receiverTimeout is the time without heartbeats from all receivers of a job
 	// after which its runs are stopped, because the job may have been forwarded to
 	// another leader.
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -99,13 +99,8 @@
 		i.envelope(from).OperatorTables = i.tables
 	}
 	if reply != nil {
-		if now.Before(i.receiver.settledAt) {
-			// Callers may have left during a pause, so that this reply confirms no job.
-			reply.EchoNanos = 0
-		} else {
-			i.receiver.confirm(now, from)
-			p.repliedAt = now
-		}
+		i.receiver.confirm(now, from)
+		p.repliedAt = now
 		i.sendHeartbeat(from, reply)
 	}
 }
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -102,9 +102,6 @@
 // gives up all zones, which another instance may lead meanwhile.
 func (i *Instance) advance(now time.Time) {
 	gap := now.Sub(i.lastEvent)
-	if gap > receiverTimeout {
-		i.receiver.settledAt = now.Add(settleTime)
-	}
 	if gap > receiverTimeout {
 		i.effects.decide("process-paused", i.cfg.Zone, "for", gap, "led", len(i.dispatcher.terms), "gave-up", gap > pauseThreshold, "open-jobs", len(i.receiver.open))
 	}
--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -165,25 +165,25 @@
 	s.testRunEnds(is, gone, false)
 }
 
-// TestReceiverConfirmsNothingJustAfterAPause guards against a receiver that forwards jobs, or
-// confirms them, before it has noticed which callers have left while it was paused.
-func TestReceiverConfirmsNothingJustAfterAPause(t *testing.T) {
-	is := is.New(t)
-	s := newScriptedInstance()
-	s.followLeader()
-	s.effects.Sends = nil
-	s.now = s.now.Add(600 * time.Millisecond)
-	s.Receive(s.now, firstLeader, &peer.Envelope{
-		Zone: "hr-north-a",
-		Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-a", Term: 1024}}, SentNanos: 5}, JobEnds: []*peer.JobEnd{{Id: abandonedID}},
-	})
-	s.take()
-	is.True(s.jobSent(firstLeader) == nil)
-	for _, send := range s.effects.Sends {
-		is.Equal(send.Envelope.Beat.EchoNanos, int64(0))
+// TestReceiverConfirmsNoJobOfALeftCallerAfterAPause guards against a receiver that forwards jobs,
+// or confirms them, before it has noticed which callers have left while it was paused. The job of
+// a caller that waits is forwarded again at once.
+func TestReceiverConfirmsNoJobOfALeftCallerAfterAPause(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		is := is.New(t)
+		s := newScriptedInstance()
+		caller := s.followLeader()
+		s.effects.Sends = nil
+		s.now = s.now.Add(600 * time.Millisecond)
+		s.left[caller] = left
+		s.Receive(s.now, firstLeader, &peer.Envelope{
+			Zone: "hr-north-a",
+			Beat: &peer.Beat{Leads: []*peer.Lead{{Zone: "hr-north-a", Term: 1024}}, SentNanos: 5}, JobEnds: []*peer.JobEnd{{Id: abandonedID}},
+		})
+		s.take()
+		is.Equal(s.jobSent(firstLeader) == nil, left)
+		is.Equal(len(s.withdrawnFrom(firstLeader)) > 0, left) // with the answer to the heartbeat
 	}
-	s.heartbeats(firstLeader, 1024, 100*time.Millisecond)
-	is.True(s.jobSent(firstLeader) != nil)
 }
 
 // TestWithdrawalCountsBeforeTheAnswerThatBringsIt guards against an answer of a receiver that
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -23,9 +23,6 @@
 	// closed is set if new jobs are refused whose callers wait longer than until end.
 	closed bool
 	end    time.Time
-	// settledAt is the time, after a pause of the process, from which jobs are forwarded
-	// again: callers that have left meanwhile are known by then.
-	settledAt time.Time
 	// ownConfirmedAt is when the callers of the jobs that were forwarded to this instance
 	// itself were last checked.
 	ownConfirmedAt time.Time
@@ -105,7 +102,7 @@
 // forward forwards a job to the leader of its zone, if there is one and it does not have the
 // job. It withdraws a job whose callers have left.
 func (r *receiver) forward(now time.Time, o *openJob) {
-	if o.forwarded || now.Before(r.settledAt) || !o.zone.leader.Leader.IsValid() || !o.zone.leaderlessSince.IsZero() {
+	if o.forwarded || !o.zone.leader.Leader.IsValid() || !o.zone.leaderlessSince.IsZero() {
 		return
 	}
 	if !r.hasCallers(now, o) {
