--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -22,7 +22,7 @@
 		if n == 0 && random.IntN(impatientCallers) == 0 {
 			timeout = impatience
 		}
-		status = post("http://"+i.settings.CallerAddress.String()+"/p/"+id, body, timeout)
+		status = post("http://"+i.settings.CallerAddress.String()+"/p/"+id, body, timeout, callerTimeout)
 		c.checker.mu.Lock()
 		c.checker.answered[id] = append(c.checker.answered[id], status)
 		c.checker.mu.Unlock()
@@ -35,8 +35,8 @@
 }
 
 // post posts a job and returns the status of the answer, or 0 if there is no answer within
-// timeout.
-func post(url, body string, timeout time.Duration) int {
+// timeout. The request says that the caller waits for deadline.
+func post(url, body string, timeout, deadline time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
@@ -44,7 +44,7 @@
 		return 0
 	}
 	req.Host = "photos.example"
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,7 @@
 // processes of their own, and the checker of what workers and callers observe.
 type cluster struct {
 	checker *runChecker
+	cfg     clusterConfig
 	// subnet is the third octet of the instances' IP addresses.
 	subnet    uint64
 	instances []*instance
@@ -41,12 +43,29 @@
 	proxies []*proxy
 }
 
+// clusterConfig is the part of a cluster that differs between tests. Most tasks take taskTime.
+type clusterConfig struct {
+	instancesPerZone, tasksPerWorker int
+	taskTime                         time.Duration
+}
+
+// buildBinary builds the program and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "amaranthwell")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/amaranthwell").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // newCluster starts the stand-ins and the instances, and stops them when the test ends.
-func newCluster(t *testing.T, binary string, seed uint64) *cluster {
+func newCluster(t *testing.T, binary string, seed uint64, cfg clusterConfig) *cluster {
 	t.Helper()
 	is := is.New(t)
 	c := &cluster{
 		checker: &runChecker{running: make(map[string]int), ran: make(map[string]bool), answered: make(map[string][]int)},
+		cfg:     cfg,
 		store:   standin.NewStore(standin.StoreConfig{}),
 		subnet:  firstSubnet + seed%subnets,
 	}
@@ -61,8 +80,8 @@
 		for n := range workersPerZone {
 			c.addWorker(t, fmt.Sprintf("w-%d-%d", z, n), zone(z))
 		}
-		for n := range instancesPerZone {
-			c.addInstance(t, binary, z*instancesPerZone+n, zone(z), names, server.Listener.Addr().String())
+		for n := range cfg.instancesPerZone {
+			c.addInstance(t, binary, z*cfg.instancesPerZone+n, zone(z), names, server.Listener.Addr().String())
 		}
 	}
 	for _, i := range c.instances {
@@ -97,12 +116,12 @@
 	if !c.calm.Load() && xxhash.Sum64String(task)%longTasks == 0 {
 		return longTaskTime
 	}
-	return taskTime
+	return c.cfg.taskTime
 }
 
 func (c *cluster) addWorker(t *testing.T, id, zone string) {
 	worker := standin.NewLeasedWorker(standin.LeasedWorkerConfig{
-		ID: id, RunTimeOf: c.runTime, MaxTasks: tasksPerWorker, Started: c.checker.started, Ended: c.checker.ended,
+		ID: id, RunTimeOf: c.runTime, MaxTasks: c.cfg.tasksPerWorker, Started: c.checker.started, Ended: c.checker.ended,
 		LateBy: func() time.Duration {
 			if c.late.Load() && rand.Float64() < lateShare {
 				return lateTime
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"testing"
@@ -74,10 +72,7 @@
 // report that it did not, and that jobs succeed once the faults are over. Then all
 // connections to the store go silent, and a new configuration must still arrive.
 func TestNoTaskRunsTwiceUnderRandomFaults(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "amaranthwell")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/amaranthwell").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildBinary(t)
 	first, n := seeds()
 	for seed := first; seed < first+n; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -90,7 +85,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(seed, 7))
-	c := newCluster(t, binary, seed)
+	c := newCluster(t, binary, seed, clusterConfig{instancesPerZone, tasksPerWorker, taskTime})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	for _, i := range c.instances {
