dispatch: a receiver remembers that the present leader has a job

A redirected job returned home while the leader of the other zone had come to lead the home zone, too, and was silent. The job was withdrawn from all former leaders but not from this one, which was to get it next; but the receiver forgot that it had it. If the caller left before the job was forwarded, nobody withdrew the job, and the leader ran it until the caller's deadline, beside its next submission.

The receiver keeps the present leader in the job's list of leaders. TestReturnedJobIsWithdrawnFromALeaderOfBothZones failed before.

--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -134,15 +134,16 @@
 	r.forward(now, o)
 }
 
-// withdrawFromFormer withdraws a job from all instances but the present leader, which has
-// it now.
+// withdrawFromFormer withdraws a job from all instances but the present leader, to which it is
+// forwarded next and which may have it already.
 func (r *receiver) withdrawFromFormer(now time.Time, o *openJob) {
-	for _, addr := range o.leaders {
-		if addr != o.zone.leader.Leader {
-			r.withdrawFrom(now, addr, o.job.ID)
+	o.leaders = slices.DeleteFunc(o.leaders, func(addr netip.AddrPort) bool {
+		if addr == o.zone.leader.Leader {
+			return false
 		}
-	}
-	o.leaders = nil
+		r.withdrawFrom(now, addr, o.job.ID)
+		return true
+	})
 }
 
 // withdrawFrom withdraws a job from the instance at addr.
