dispatch: an envelope of a former stream of a link is ignored

The envelopes of one stream arrive in order, those of two streams need not. If the envelope in which a job was forwarded was handled after the withdrawal on the next stream, the leader had a job that nobody waited for, and ran it until the deadline of its caller, beside its next submission.

Envelopes are numbered, as peer.proto describes, and one that a later one has overtaken counts as lost: after the reset of the link, its sender sends again what still holds.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -18,7 +18,7 @@
 // Receive handles an envelope from a peer.
 func (i *Instance) Receive(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	i.advance(now)
-	if !i.followProcess(now, from, env.Incarnation) {
+	if !i.followProcess(now, from, env.Incarnation) || !i.followSequence(from, env) {
 		return
 	}
 	if env.Beat != nil {
@@ -79,6 +79,21 @@
 	return true
 }
 
+// followSequence records the number of an envelope, and reports whether it is to
+// be handled. Each reset of a link begins a new stream. An envelope of the former stream that
+// arrives after one of the new stream counts as lost: after the reset its sender sends again what
+// still holds. Versions that do not number their envelopes send 0.
+func (i *Instance) followSequence(from netip.AddrPort, env *peer.Envelope) bool {
+	p := i.peer(from)
+	if env.Sequence != 0 && env.Sequence <= p.sequence {
+		i.effects.decide("envelope-overtaken", from.String(), "sequence", env.Sequence, "received", p.sequence,
+			"jobs", len(env.Jobs), "ends", len(env.JobEnds), "withdrawn", len(env.Withdrawn))
+		return false
+	}
+	p.sequence = env.Sequence
+	return true
+}
+
 // receiveHeartbeat handles a peer's heartbeat, with its list of drained zones. It replies if
 // the peer asks for it, and sends the configuration if the peer requests it.
 func (i *Instance) receiveHeartbeat(now time.Time, from netip.AddrPort, env *peer.Envelope) {
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -54,8 +54,10 @@
 	// and tablesRequestedAt when one was last requested from a peer.
 	behindSince, tablesRequestedAt time.Time
 
-	peers     map[netip.AddrPort]*peerState
-	shards    shardState
+	peers  map[netip.AddrPort]*peerState
+	shards shardState
+	// sequence is the number of the latest envelope to any peer.
+	sequence  uint64
 	lastEvent time.Time
 	lastProbe time.Time
 	leaving   bool
@@ -337,8 +339,11 @@
 	}
 	for _, addr := range slices.SortedFunc(maps.Keys(i.outbox), netip.AddrPort.Compare) {
 		i.peer(addr).withdrawals.addTo(now, i.outbox[addr])
-		i.outbox[addr].Zone = i.leadership.Shard()
-		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: i.outbox[addr]})
+		env := i.outbox[addr]
+		env.Zone = i.leadership.Shard()
+		i.sequence++
+		env.Sequence = i.sequence
+		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: env})
 	}
 	clear(i.outbox)
 	effects := i.effects
--- a/dispatch/lost_leaders_test.go
+++ b/dispatch/lost_leaders_test.go
@@ -24,10 +24,10 @@
 	s.take()
 }
 
-// Guards against a job that a leader keeps although its caller has left: the leader of the zone
-// to which it was redirected leads the home zone, too, and nothing is received from it for so
-// long that the job returns to the home zone. The job must still be withdrawn from it when it
-// is heard again.
+// TestReturnedJobIsWithdrawnFromALeaderOfBothZones guards against a job that a leader keeps
+// although its caller has left: the leader of the zone to which it was redirected leads the home
+// zone, too, and nothing is received from it for so long that the job returns to the home zone.
+// The job must still be withdrawn from it when it is heard again.
 func TestReturnedJobIsWithdrawnFromALeaderOfBothZones(t *testing.T) {
 	is := is.New(t)
 	s := newInstanceOfTwoZones()
