dispatch: a leader that lost its state awaits the runs of a job that is forwarded again

A receiver whose link was broken forwards its jobs again as ones that the same leader may have had, and so without a time by which earlier runs have ended. If a new process had come to lead at that address, or the leader had lost its state and led again, and the receiver did not know it yet, the leader started the job at once, while a run of before went on at a worker that it had not polled yet.

An envelope names the session that its sender knows. A job that was forwarded before and comes for another session waits until the runs of that session must have ended.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,6 +21,8 @@
 // dispatcher is the state of an instance that leads availability zones.
 type dispatcher struct {
 	self netip.AddrPort
+	// session identifies the period since this instance last lost its state of jobs and runs.
+	session uint64
 	// terms are the terms of the zones that this instance leads, and takenOver is
 	// when it took each of them over.
 	terms     map[string]uint64
@@ -231,6 +233,7 @@
 // reset discards all jobs and runs, because this instance may not send commands any
 // more.
 func (d *dispatcher) reset() {
+	d.session++
 	for _, j := range d.jobs {
 		j.apply(eventEnd)
 	}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -79,7 +79,7 @@
 	return true
 }
 
-// followSequence records the number of an envelope, and reports whether it is to
+// followSequence records the number and the session of an envelope, and reports whether it is to
 // be handled. Each reset of a link begins a new stream. An envelope of the former stream that
 // arrives after one of the new stream counts as lost: after the reset its sender sends again what
 // still holds. Versions that do not number their envelopes send 0.
@@ -90,7 +90,7 @@
 			"jobs", len(env.Jobs), "ends", len(env.JobEnds), "withdrawn", len(env.Withdrawn))
 		return false
 	}
-	p.sequence = env.Sequence
+	p.sequence, p.session = env.Sequence, env.Session
 	return true
 }
 
--- a/dispatch/exchange_redirects.go
+++ b/dispatch/exchange_redirects.go
@@ -26,7 +26,11 @@
 		return
 	}
 	for _, j := range env.Jobs {
-		i.dispatcher.addJob(now, from, decodeJob(now, j))
+		job := decodeJob(now, j)
+		if env.ToSession != 0 && env.ToSession != i.dispatcher.session {
+			job.lostByLeader(now)
+		}
+		i.dispatcher.addJob(now, from, job)
 	}
 	for _, id := range env.Withdrawn {
 		i.dispatcher.withdraw(now, from, id)
--- a/dispatch/instance.go
+++ b/dispatch/instance.go
@@ -84,6 +84,7 @@
 	i.shards = shardState{count: 1, own: cfg.Zone}
 	i.receiver = newReceiver(now, i)
 	i.dispatcher.effects = &i.effects
+	i.dispatcher.session = uint64(now.UnixNano())
 	i.dispatcher.unfenced = cfg.Unfenced
 	i.dispatcher.reportEnd = i.reportEnd
 	i.dispatcher.onFenced = i.handleFenced
@@ -342,7 +343,7 @@
 		env := i.outbox[addr]
 		env.Zone = i.leadership.Shard()
 		i.sequence++
-		env.Sequence = i.sequence
+		env.Sequence, env.Session, env.ToSession = i.sequence, i.dispatcher.session, i.peer(addr).session
 		i.effects.Sends = append(i.effects.Sends, Send{To: addr, Envelope: env})
 	}
 	clear(i.outbox)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,6 +44,15 @@
 	Zone string
 }
 
+// lostByLeader records that a receiver forwards the job to an earlier process at this leader's
+// address, or to the leader as it was before it lost its state. If it was forwarded there before,
+// runs of that time may be running.
+func (j *Job) lostByLeader(now time.Time) {
+	if j.EarlierLeaders > 0 {
+		j.EarlierRunsEndBy = later(j.EarlierRunsEndBy, now.Add(earlierRunsTimeout))
+	}
+}
+
 // notServed returns the end of a job of which this leader has started no task. It is
 // NotRun only if the job had no earlier leader, because an earlier leader may have
 // started tasks.
--- a/dispatch/peer_state.go
+++ b/dispatch/peer_state.go
@@ -34,8 +34,9 @@
 	// sentRevision is the revision of this instance's worker table up to which it was
 	// sent to the peer.
 	sentRevision uint64
-	// sequence is the number of the latest envelope that was received from the peer's process.
-	sequence uint64
+	// sequence is the number of the latest envelope that was received from the peer's process,
+	// and session the peer's session in it.
+	sequence, session uint64
 	// withdrawals are this instance's withdrawals of jobs from the peer, and
 	// withdrawnReceived is the number of the peer's last withdrawal that arrived here.
 	withdrawals       withdrawals
