peer: an instance that has restarted counts, although it is of another shard

After a release the number of shards could stay too low for good: an instance that announced its shutdown and has restarted sends nothing to the leaders of other shards, so that the one that decides on the number counted it as leaving for ever.

TestRestartedInstanceOfAnotherShardCounts is new.

--- a/dispatch/shards.go
+++ b/dispatch/shards.go
@@ -70,7 +70,7 @@
 	i.shards.checkedAt = now
 	i.leadership.SetRequiredWeights(i.requiredWeights())
 	count, _ := i.leadership.ShardCount()
-	wanted := shardsFor(i.workersOfLargestZone(), i.leadership.InstancesOfSmallestZone(), i.leadership.HighestWeight(), count)
+	wanted := shardsFor(i.workersOfLargestZone(), i.leadership.InstancesOfSmallestZone(now), i.leadership.HighestWeight(), count)
 	if wanted == count {
 		i.shards.wantedSince = time.Time{}
 		return
@@ -93,7 +93,7 @@
 func (i *Instance) decideShards(now time.Time, count int) {
 	before, _ := i.leadership.ShardCount()
 	i.effects.decide("shards-decided", i.leadership.Shard(), "shards", count, "before", before, "workers", i.workersOfLargestZone(),
-		"instances", i.leadership.InstancesOfSmallestZone(), "heaviest", i.leadership.HighestWeight())
+		"instances", i.leadership.InstancesOfSmallestZone(now), "heaviest", i.leadership.HighestWeight())
 	i.leadership.DecideShards(now, count)
 	i.shards.wantedSince = time.Time{}
 	i.followTerms(now)
--- a/peer/shards.go
+++ b/peer/shards.go
@@ -362,11 +362,13 @@
 }
 
 // InstancesOfSmallestZone returns the number of known instances, with this one, of the zone
-// with the fewest, apart from zones without any and from instances that are leaving.
-func (l *Leadership) InstancesOfSmallestZone() int {
+// with the fewest, apart from zones without any and from instances that are leaving. Nothing is
+// received from an instance of another shard that has restarted, so that one counts as leaving
+// only for unattendedAfter.
+func (l *Leadership) InstancesOfSmallestZone(now time.Time) int {
 	counts := map[string]int{l.cfg.Zone: 1}
 	for _, m := range l.members {
-		if !m.leaving {
+		if !m.leaving || now.Sub(m.lastSeen) > unattendedAfter {
 			counts[l.availabilityZone(m.zone)]++
 		}
 	}
--- a/peer/shards_test.go
+++ b/peer/shards_test.go
@@ -363,3 +363,18 @@
 	l.claim(now, shardZones[0])
 	is.True(l.claims[shardZones[0]].Term > 1<<50) // the term is above that claim's nevertheless
 }
+
+// TestRestartedInstanceOfAnotherShardCounts guards against a number of shards that stays too low
+// after a release: an instance that announced its shutdown and has restarted sends nothing to the
+// leaders of other shards.
+func TestRestartedInstanceOfAnotherShardCounts(t *testing.T) {
+	is := is.New(t)
+	c := newShardCluster(4, 2)
+	l := c.members[c.order[0]]
+	is.Equal(l.InstancesOfSmallestZone(c.now), 4)
+	other := c.order[1]
+	l.Receive(c.now, other, shardZones[1], true, &Beat{Shards: sharding{count: 2}.encode()})
+	is.Equal(l.InstancesOfSmallestZone(c.now), 3)
+	c.now = c.now.Add(unattendedAfter + time.Millisecond)
+	is.Equal(l.InstancesOfSmallestZone(c.now), 4)
+}
