--- a/cmd/amaranthwell/decision_log.go
+++ b/cmd/amaranthwell/decision_log.go
@@ -70,7 +70,7 @@
 func (l *decisionLog) count(event string) {
 	counter := l.counts[event]
 	if counter == nil {
-		counter = l.metrics.NewCounter(fmt.Sprintf("amaranthwell_decisions_total{event=%q}", event))
+		counter = l.metrics.GetOrCreateCounter(fmt.Sprintf("amaranthwell_decisions_total{event=%q}", event))
 		l.counts[event] = counter
 	}
 	counter.Inc()
--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -9,8 +9,7 @@
 )
 
 // ownConfirmationInterval is the time between checks of the callers whose jobs this instance has
-// forwarded to itself. Those of jobs that were forwarded to other leaders are checked with each
-// heartbeat of these.
+// forwarded to itself. The callers of other jobs are checked with each heartbeat of their leaders.
 const ownConfirmationInterval = peer.LeaderHeartbeatEvery
 
 // Callers tells whether callers are connected.
@@ -35,8 +34,8 @@
 	return len(o.callers) > 0
 }
 
-// confirm withdraws those jobs that were forwarded to the instance at addr whose callers have
-// left. This instance waits for the others.
+// confirm is called before this instance tells the leader at addr that it waits for the jobs that
+// it has forwarded there. It withdraws those whose callers have left.
 func (r *receiver) confirm(now time.Time, addr netip.AddrPort) {
 	for _, id := range r.ids() {
 		if o := r.open[id]; slices.Contains(o.leaders, addr) {
--- a/tcp/closed.go
+++ b/tcp/closed.go
@@ -25,12 +25,11 @@
 	err = raw.Control(func(fd uintptr) {
 		var next [1]byte
 		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case err == nil:
+		if err == nil {
 			closed = n == 0
-		default:
-			closed = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+			return
 		}
+		closed = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 	})
 	return closed || err != nil
 }
