--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -12,6 +12,9 @@
 // forwarded to itself. The callers of other jobs are checked with each heartbeat of their leaders.
 const ownConfirmationInterval = peer.LeaderHeartbeatEvery
 
+// disconnected is the reason of the answer to a caller that has left. It ends the request.
+const disconnected = "disconnected"
+
 // Callers tells whether callers are connected.
 type Callers interface {
 	// Connected reports whether the connection of a caller is open at the time of the call.
@@ -20,15 +23,19 @@
 	Connected(CallerID) bool
 }
 
-// hasCallers reports whether a caller of o is connected. Otherwise it withdraws the job.
-func (r *receiver) hasCallers(now time.Time, o *openJob) bool {
+// hasLeft reports whether the connection of a caller is closed.
+func (r *receiver) hasLeft(caller CallerID) bool {
 	callers := r.instance.cfg.Callers
-	if callers == nil {
-		return true
-	}
+	return callers != nil && !callers.Connected(caller)
+}
+
+// dropLeftCallers ends the requests of those callers of o that have left, and withdraws the job if
+// no other one waits for it. It reports whether one does.
+func (r *receiver) dropLeftCallers(now time.Time, o *openJob) bool {
 	for _, caller := range slices.Clone(o.callers) {
-		if !callers.Connected(caller) {
+		if r.hasLeft(caller) {
 			r.abandon(now, caller)
+			r.answer(caller, End{ID: o.job.ID, State: Overdue, Reason: disconnected})
 		}
 	}
 	return len(o.callers) > 0
@@ -39,7 +46,7 @@
 func (r *receiver) confirm(now time.Time, addr netip.AddrPort) {
 	for _, id := range r.ids() {
 		if o := r.open[id]; slices.Contains(o.leaders, addr) {
-			r.hasCallers(now, o)
+			r.dropLeftCallers(now, o)
 		}
 	}
 }
--- a/dispatch/callers_test.go
+++ b/dispatch/callers_test.go
@@ -27,6 +27,24 @@
 	is.True(s.jobSent(firstLeader) != nil)
 }
 
+// TestLateRequestDoesNotProlongAJob guards against the request of a caller that has left, and is
+// read late, which prolongs the deadline of the same job of a caller that waits.
+func TestLateRequestDoesNotProlongAJob(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedInstance()
+	s.heartbeats(firstLeader, 1024, 500*time.Millisecond)
+	job := s.job(abandonedID)
+	job.CallerDeadline = s.now.Add(400 * time.Millisecond)
+	s.Submit(s.now, 1, job)
+	s.left[2] = true
+	s.Submit(s.now, 2, s.job(abandonedID))
+	s.take()
+	is.Equal(len(s.effects.Answers), 1) // to the caller that has left
+	s.heartbeats(firstLeader, 1024, 500*time.Millisecond)
+	is.Equal(len(s.effects.Answers), 2)
+	is.Equal(s.OpenJobs(), 0)
+}
+
 // TestJobIsNotForwardedAgainOnceItsCallerHasLeft guards against a leader that asks for a job,
 // from whose receiver it has heard nothing for a while, and gets it although its caller has left.
 func TestJobIsNotForwardedAgainOnceItsCallerHasLeft(t *testing.T) {
@@ -57,6 +75,8 @@
 	withdrawn := s.withdrawnFrom(firstLeader)
 	is.Equal(len(withdrawn), 1)
 	is.True(withdrawn[0].Beat.Reply)
+	is.Equal(len(s.effects.Answers), 1) // ends the request, whose connection may not be read any more
+	is.Equal(s.effects.Answers[0].End.State, dispatch.Overdue)
 
 	s.Abandon(s.now, caller) // the end of the connection is handled at last
 	s.take()
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -62,8 +62,14 @@
 	}
 }
 
-// submit adds a job of a caller, or adds the caller to a known job.
+// submit adds a job of a caller, or adds the caller to a known job. The request of a caller that
+// has left adds nothing: it was read late.
 func (r *receiver) submit(now time.Time, caller CallerID, job Job) {
+	if r.hasLeft(caller) {
+		r.answer(caller, End{ID: job.ID, State: Overdue, Reason: disconnected})
+		r.instance.effects.decide("job-abandoned", job.ID, "request", job.Request, "age", now.Sub(job.Arrived), "forwarded", false)
+		return
+	}
 	o := r.open[job.ID]
 	if o == nil {
 		if reason := r.refusal(now, job.CallerDeadline); reason != "" {
@@ -105,7 +111,7 @@
 	if o.forwarded || !o.zone.leader.Leader.IsValid() || !o.zone.leaderlessSince.IsZero() {
 		return
 	}
-	if !r.hasCallers(now, o) {
+	if !r.dropLeftCallers(now, o) {
 		return
 	}
 	o.forwarded, o.everForwarded = true, true
--- a/dispatch/stale_envelopes_test.go
+++ b/dispatch/stale_envelopes_test.go
@@ -30,9 +30,10 @@
 	panic("no such instance")
 }
 
-// TestForwardOfAFormerStreamFollowsItsWithdrawal guards against a job that nobody waits for: the link to the leader breaks with the envelope in
-// which the job was forwarded, and the leader handles that envelope after the withdrawal that came
-// over the next stream. It must not run the job beside its next submission.
+// TestForwardOfAFormerStreamFollowsItsWithdrawal guards against a job that runs although its
+// receiver has withdrawn it: the link to the leader breaks with the envelope in which the job was
+// forwarded, and the leader handles that envelope after the withdrawal that came over the next
+// stream. It must not run the job beside its next submission.
 func TestForwardOfAFormerStreamFollowsItsWithdrawal(t *testing.T) {
 	is := is.New(t)
 	var violations []string
--- a/tcp/closed_test.go
+++ b/tcp/closed_test.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// Unread data must not hide that the remote host has closed a connection.
+func TestClosedByPeerBehindUnreadData(t *testing.T) {
+	is := is.New(t)
+	client, server := connect(t)
+	_, err := client.Write([]byte("x"))
+	is.NoErr(err)
+	is.NoErr(client.Close())
+	awaitClosed(server)
+	_, err = server.Read(make([]byte, 1))
+	is.NoErr(err) // the data is still read
+}
+
 // Data that was not read does not count as the end of a connection, and a connection that was
 // closed here does.
 func TestClosedByPeerOfAnOpenConnection(t *testing.T) {
