dispatch: a receiver notices that a leader has lost its state

An envelope names the session that its sender knows now, not the one in which it forwarded a job. Once the receiver had got any envelope of the new process, it forwarded its jobs again for the new session, and they started at once.

When the session of a leader changes, the receiver marks the jobs that the leader had as ones whose earlier runs may go on.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -18,7 +18,7 @@
 // Receive handles an envelope from a peer.
 func (i *Instance) Receive(now time.Time, from netip.AddrPort, env *peer.Envelope) {
 	i.advance(now)
-	if !i.followProcess(now, from, env.Incarnation) || !i.followSequence(from, env) {
+	if !i.followProcess(now, from, env.Incarnation) || !i.followSequence(now, from, env) {
 		return
 	}
 	if env.Beat != nil {
@@ -75,7 +75,7 @@
 	i.dispatcher.withdrawAll(now, addr)
 	ended := append(p.endedIncarnations, p.incarnation)
 	ended = ended[max(0, len(ended)-maxEndedIncarnations):]
-	*p = peerState{incarnation: incarnation, endedIncarnations: ended}
+	*p = peerState{incarnation: incarnation, endedIncarnations: ended, session: p.session}
 	return true
 }
 
@@ -83,13 +83,16 @@
 // be handled. Each reset of a link begins a new stream. An envelope of the former stream that
 // arrives after one of the new stream counts as lost: after the reset its sender sends again what
 // still holds. Versions that do not number their envelopes send 0.
-func (i *Instance) followSequence(from netip.AddrPort, env *peer.Envelope) bool {
+func (i *Instance) followSequence(now time.Time, from netip.AddrPort, env *peer.Envelope) bool {
 	p := i.peer(from)
 	if env.Sequence != 0 && env.Sequence <= p.sequence {
 		i.effects.decide("envelope-overtaken", from.String(), "sequence", env.Sequence, "received", p.sequence,
 			"jobs", len(env.Jobs), "ends", len(env.JobEnds), "withdrawn", len(env.Withdrawn))
 		return false
 	}
+	if p.session != 0 && p.session != env.Session {
+		i.receiver.leaderLostState(now, from)
+	}
 	p.sequence, p.session = env.Sequence, env.Session
 	return true
 }
--- a/dispatch/exchange_redirects.go
+++ b/dispatch/exchange_redirects.go
@@ -28,7 +28,7 @@
 	for _, j := range env.Jobs {
 		job := decodeJob(now, j)
 		if env.ToSession != 0 && env.ToSession != i.dispatcher.session {
-			job.lostByLeader(now)
+			job.awaitEarlierRuns(now)
 		}
 		i.dispatcher.addJob(now, from, job)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,10 +44,9 @@
 	Zone string
 }
 
-// lostByLeader records that a receiver forwards the job to an earlier process at this leader's
-// address, or to the leader as it was before it lost its state. If it was forwarded there before,
-// runs of that time may be running.
-func (j *Job) lostByLeader(now time.Time) {
+// awaitEarlierRuns lets a job that was forwarded before wait for runs that its leader has started
+// before it lost its state, as a new process or because it lost its leadership.
+func (j *Job) awaitEarlierRuns(now time.Time) {
 	if j.EarlierLeaders > 0 {
 		j.EarlierRunsEndBy = later(j.EarlierRunsEndBy, now.Add(earlierRunsTimeout))
 	}
--- a/dispatch/receiver.go
+++ b/dispatch/receiver.go
@@ -187,6 +187,17 @@
 	}
 }
 
+// leaderLostState is called when the instance at addr has lost its state of jobs and runs. If it
+// leads again, it must not start the jobs that it had before their runs have ended.
+func (r *receiver) leaderLostState(now time.Time, addr netip.AddrPort) {
+	for _, o := range r.open {
+		if slices.Contains(o.leaders, addr) {
+			o.job.EarlierLeaders = max(o.job.EarlierLeaders, 1)
+			o.job.awaitEarlierRuns(now)
+		}
+	}
+}
+
 // jobEnded answers the callers of a job that has ended, or forwards the job again, to the
 // same leader or to another zone.
 func (r *receiver) jobEnded(now time.Time, from netip.AddrPort, end End) {
