--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -148,7 +148,7 @@
 	// instances.
 	shards bool
 	// starved is set if an instance takes a while to handle what has arrived during a pause,
-	// and callers leave after starvedPatience although they got no answer.
+	// and callers leave after starvedPatience, during the faults, although they got no answer.
 	starved bool
 	// uneven is set, with apart, if each zone has further instances that are too light to lead
 	// its workers. Faults then also shut instances down.
