--- a/cmd/amaranthwell/left_caller_test.go
+++ b/cmd/amaranthwell/left_caller_test.go
@@ -36,17 +36,10 @@
 			awaitReady(t, p.nodes[0].ReadyAddress)
 
 			const patience = 20 * time.Second
-			deadline := time.Now().Add(patience)
 			address := p.nodes[0].CallerAddress.String()
-			conn, err := net.Dial("tcp", address)
-			is.NoErr(err)
-			body := `{"best_effort":true,"spec":"s","pipeline":[{"count":1,"cpu":1000,"mem_mb":1,"estimated_ms":2500}]}`
-			_, err = fmt.Fprintf(conn, "POST /p/0000000000000052 HTTP/1.1\r\nHost: photos.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", patience.Milliseconds(), len(body), body)
-			is.NoErr(err)
-			for !jobIsOpen(t, address) {
-				time.Sleep(10 * time.Millisecond)
-			}
-			_, err = conn.Write([]byte(trailing))
+			conn := submitUntilOpen(t, address, patience)
+			deadline := time.Now().Add(patience / 2) // well before the job's
+			_, err := conn.Write([]byte(trailing))
 			is.NoErr(err)
 			is.NoErr(conn.Close())
 			for jobIsOpen(t, address) && time.Now().Before(deadline) {
@@ -57,6 +50,29 @@
 	}
 }
 
+// submitUntilOpen submits the job on a new connection until the instance at address has it. The
+// instance refuses it while it does not know the worker yet.
+func submitUntilOpen(t *testing.T, address string, patience time.Duration) net.Conn {
+	t.Helper()
+	is := is.New(t)
+	body := `{"best_effort":true,"spec":"s","pipeline":[{"count":1,"cpu":1000,"mem_mb":1,"estimated_ms":2500}]}`
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /p/0000000000000052 HTTP/1.1\r\nHost: photos.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", patience.Milliseconds(), len(body), body)
+		is.NoErr(err)
+		for range 50 {
+			if jobIsOpen(t, address) {
+				return conn
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.NoErr(conn.Close())
+	}
+	t.Fatal("the job was refused until the deadline")
+	return nil
+}
+
 // jobIsOpen reports whether the instance at address has the job of TestJobOfALeftCallerEnds.
 func jobIsOpen(t *testing.T, address string) bool {
 	t.Helper()
